--- /dev/null
+++ b/apps/foxwing/callercommands.cpp
@@ -0,0 +1,88 @@
+/*
+    Commands for callers: submit, request, fetch, cancel.
+
+    [SECTION] Bodies
+    [SECTION] Commands
+*/
+#include "commandline.h"
+
+#include <foxwing/base/codec.h>
+
+namespace foxwing::cli {
+
+// [SECTION] Bodies
+
+namespace {
+
+Json::Value commonBody(const Options &options)
+{
+    Json::Value body(Json::objectValue);
+    body["service"] = options.service;
+    body["deadlineMs"] = static_cast<Json::Int64>(options.deadlineMs);
+    body["repeatable"] = options.repeatable;
+    if (!options.workClass.empty())
+        body["class"] = options.workClass;
+    if (options.declaredMs > 0)
+        body["declaredMs"] = static_cast<Json::Int64>(options.declaredMs);
+    return body;
+}
+
+// A word that is JSON goes as JSON, any other as a string.
+Json::Value payload(const std::string &word)
+{
+    Error ignored;
+    return parseJson(word, &ignored).value_or(Json::Value(word));
+}
+
+std::string query(const Options &options)
+{
+    return options.waitMs < 0 ? std::string() : "?wait=" + std::to_string(options.waitMs);
+}
+
+int lookUp(const Options &options, const char *method)
+{
+    if (options.words.size() != 2)
+        return wrongUse(options.words[0] + " needs one submission id");
+    return printReply(options,
+                      call(options, method, "/v1/jobs/" + options.words[1] + query(options), {}));
+}
+
+} // namespace
+
+// [SECTION] Commands
+
+int runSubmit(const Options &options)
+{
+    if (options.words.size() < 2 || options.service.empty())
+        return wrongUse("submit needs --service and one payload for each task");
+    Json::Value body = commonBody(options);
+    body["submission"] = options.submission.empty() ? makeId() : options.submission;
+    body["tasks"] = Json::Value(Json::arrayValue);
+    for (std::size_t i = 1; i < options.words.size(); ++i)
+        body["tasks"].append(payload(options.words[i]));
+    return printReply(options, call(options, "POST", "/v1/jobs" + query(options), writeJson(body)));
+}
+
+int runRequest(const Options &options)
+{
+    if (options.words.size() != 2 || options.service.empty())
+        return wrongUse("request needs --service and one payload");
+    Json::Value body = commonBody(options);
+    if (!options.submission.empty())
+        body["submission"] = options.submission;
+    body["payload"] = payload(options.words[1]);
+    return printReply(options,
+                      call(options, "POST", "/v1/requests" + query(options), writeJson(body)));
+}
+
+int runFetch(const Options &options)
+{
+    return lookUp(options, "GET");
+}
+
+int runCancel(const Options &options)
+{
+    return lookUp(options, "DELETE");
+}
+
+} // namespace foxwing::cli
--- /dev/null
+++ b/apps/foxwingd/main.cpp
@@ -0,0 +1,116 @@
+/*
+    foxwingd: the daemon. One process with the roles that its settings name.
+
+        foxwingd --settings /etc/foxwing/node.toml
+        foxwingd --settings node.toml --check
+
+    Exit codes: 0 stopped as planned, 1 could not start, 2 wrong use or wrong settings.
+
+    [SECTION] Command line
+    [SECTION] Signals
+    [SECTION] Main
+*/
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <popt.h>
+#include <thread>
+
+#include <foxwing/node/log.h>
+#include <foxwing/node/node.h>
+
+namespace {
+
+constexpr int ExitCantStart = 1;
+constexpr int ExitWrongUse = 2;
+
+// [SECTION] Command line
+
+struct Options
+{
+    std::string settingsFile;
+    bool check = false;
+    bool version = false;
+};
+
+// Nothing, with a line on standard error, if the command line is wrong.
+std::optional<Options> readOptions(int count, const char **arguments)
+{
+    char *file = nullptr;
+    int check = 0;
+    int version = 0;
+    const poptOption table[] = {
+        { "settings", 's', POPT_ARG_STRING, &file, 0, "settings file in TOML", "FILE" },
+        { "check", 'c', POPT_ARG_NONE, &check, 0, "only check the settings", nullptr },
+        { "version", 'V', POPT_ARG_NONE, &version, 0, "print the version", nullptr },
+        POPT_AUTOHELP POPT_TABLEEND
+    };
+    poptContext context = poptGetContext("foxwingd", count, arguments, table, 0);
+    const int result = poptGetNextOpt(context);
+    const char *extra = poptGetArg(context);
+    Options options;
+    options.settingsFile = file ? file : "";
+    options.check = check != 0;
+    options.version = version != 0;
+    const bool ok = result == -1 && !extra && (file || version != 0);
+    if (!ok)
+        std::fprintf(stderr, "foxwingd: %s; use: foxwingd --settings FILE [--check]\n",
+                     result < -1 ? poptStrerror(result) : "wrong use");
+    std::free(file);
+    poptFreeContext(context);
+    return ok ? std::optional<Options>(options) : std::nullopt;
+}
+
+// [SECTION] Signals
+
+// Waits for a signal on a thread of its own, since little may be done in a handler.
+void watchSignals(const sigset_t &signals, foxwing::node::Node &node)
+{
+    std::thread([signals, &node] {
+        int received = 0;
+        while (sigwait(&signals, &received) == 0)
+            node.requestStop();
+    }).detach();
+}
+
+} // namespace
+
+// [SECTION] Main
+
+int main(int argc, char **argv)
+{
+    const auto options = readOptions(argc, const_cast<const char **>(argv));
+    if (!options)
+        return ExitWrongUse;
+    if (options->version) {
+        std::printf("foxwingd %s\n", FOXWING_VERSION);
+        return EXIT_SUCCESS;
+    }
+    foxwing::Error reason;
+    const auto settings = foxwing::settings::readSettings(options->settingsFile, &reason);
+    if (!settings) {
+        std::fprintf(stderr, "foxwingd: %s\n", reason.message.c_str());
+        return ExitWrongUse;
+    }
+    if (options->check) {
+        std::printf("%s: good\n", options->settingsFile.c_str());
+        return EXIT_SUCCESS;
+    }
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    foxwing::node::startLog(settings->logLevel, settings->node.id);
+    foxwing::node::Node node(*settings);
+    if (!node.start(&reason)) {
+        std::fprintf(stderr, "foxwingd: %s\n", reason.message.c_str());
+        std::_Exit(ExitCantStart);
+    }
+    watchSignals(signals, node);
+    node.run();
+    // Calls to a dead endpoint may still be open in cpprestsdk; nobody waits for them.
+    std::_Exit(EXIT_SUCCESS);
+}
--- /dev/null
+++ b/cmake/foxwingConfig.cmake
@@ -0,0 +1,11 @@
+# find_package(foxwing) makes the targets foxwing::base, foxwing::agent, foxwing::dispatch, ...
+include(CMakeFindDependencyMacro)
+find_dependency(Threads)
+find_dependency(OpenSSL)
+find_dependency(Boost COMPONENTS log log_setup)
+find_dependency(PkgConfig)
+pkg_check_modules(JSONCPP REQUIRED IMPORTED_TARGET jsoncpp)
+pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
+pkg_check_modules(POPT REQUIRED IMPORTED_TARGET popt)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+include(${CMAKE_CURRENT_LIST_DIR}/foxwingTargets.cmake)
--- /dev/null
+++ b/packages/agent/include/foxwing/agent/messages.h
@@ -0,0 +1,337 @@
+/*
+    What an agent is told and what it tells.
+
+    Agents talk to entries only. All messages are one-way and may be lost, doubled or late; none of
+    them is needed to keep the promise that a task starts once, only to make progress.
+
+    [SECTION] References
+    [SECTION] To the agent
+    [SECTION] From the agent
+    [SECTION] Variants
+*/
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <foxwing/base/codec.h>
+#include <foxwing/base/time.h>
+
+namespace foxwing::agent {
+
+// [SECTION] References
+
+// One attempt at one task of one job.
+struct TaskRef
+{
+    // "team/submission", unique in the whole system.
+    std::string job;
+
+    // Position of the task in its job, from 0.
+    std::uint32_t task = 0;
+
+    // Grows by one each time an earlier attempt was proved never to have started.
+    std::uint32_t attempt = 0;
+};
+template<class Fields>
+void describe(Fields &fields, TaskRef &ref)
+{
+    fields("job", ref.job);
+    fields("task", ref.task);
+    fields("attempt", ref.attempt);
+}
+
+// How a task ended at its endpoint.
+enum class TaskEnd {
+    Succeeded,
+    Failed,
+    Cancelled,
+    DeadlinePassed,
+    // The endpoint could not be reached at all: certain not to have run.
+    Unreachable,
+};
+
+// Why an agent did not start a task. Each is a proof that this attempt never will.
+enum class RefusalCause {
+    WrongIncarnation,
+    WrongLease,
+    Fenced,
+    AlreadyVoided,
+    // Another attempt of the same task ran here: the only refusal that forbids a retry.
+    OtherAttemptStarted,
+    NoFreeSlot,
+    Leaving,
+    TooManyUnsettled,
+    DeadlinePassed,
+    EndpointUnreachable,
+};
+
+// What an agent knows of one task when it is asked by a new owner.
+struct KnownTask
+{
+    TaskRef ref;
+    bool finished = false;
+    bool voided = false;
+    TaskEnd end = TaskEnd::Failed;
+    std::string body;
+
+    // False once a settled result was forgotten.
+    bool bodyKept = true;
+};
+template<class Fields>
+void describe(Fields &fields, KnownTask &known)
+{
+    fields("ref", known.ref);
+    fields("finished", known.finished);
+    fields("voided", known.voided);
+    fields("end", known.end);
+    fields("body", known.body);
+    fields("bodyKept", known.bodyKept);
+}
+
+// [SECTION] To the agent
+
+// Run this task now.
+struct Start
+{
+    static constexpr const char *Type = "start";
+
+    // Identity
+    TaskRef ref;
+    std::string team;
+
+    // Who asks, and by what right
+    std::string owner;
+    std::uint64_t ownerIncarnation = 0;
+    std::uint64_t jobEpoch = 0;
+    std::uint64_t leaseEpoch = 0;
+    std::uint64_t agentIncarnation = 0;
+
+    // The work; timeLeft is counted from the arrival at the agent.
+    Microseconds timeLeft { 0 };
+    std::string payload;
+};
+template<class Fields>
+void describe(Fields &fields, Start &start)
+{
+    fields("ref", start.ref);
+    fields("team", start.team);
+    fields("owner", start.owner);
+    fields("ownerIncarnation", start.ownerIncarnation);
+    fields("jobEpoch", start.jobEpoch);
+    fields("leaseEpoch", start.leaseEpoch);
+    fields("agentIncarnation", start.agentIncarnation);
+    fields("timeLeft", start.timeLeft);
+    fields("payload", start.payload);
+}
+
+// Never start this attempt. Answered by NotStarted, or by Started if it came too late.
+struct Void
+{
+    static constexpr const char *Type = "void";
+    std::string from;
+    TaskRef ref;
+    std::uint64_t agentIncarnation = 0;
+};
+template<class Fields>
+void describe(Fields &fields, Void &message)
+{
+    fields("from", message.from);
+    fields("ref", message.ref);
+    fields("agentIncarnation", message.agentIncarnation);
+}
+
+// Stop these tasks if they run; void them if they have not started.
+struct Cancel
+{
+    static constexpr const char *Type = "cancel";
+    std::string from;
+    std::vector<TaskRef> refs;
+    std::uint64_t agentIncarnation = 0;
+};
+template<class Fields>
+void describe(Fields &fields, Cancel &message)
+{
+    fields("from", message.from);
+    fields("refs", message.refs);
+    fields("agentIncarnation", message.agentIncarnation);
+}
+
+// The owner has these results; the agent may forget the bodies.
+struct Settle
+{
+    static constexpr const char *Type = "settle";
+    std::vector<TaskRef> refs;
+};
+template<class Fields>
+void describe(Fields &fields, Settle &message)
+{
+    fields("refs", message.refs);
+}
+
+// A new owner takes a job over: refuse every earlier epoch, and tell what you know of the job.
+struct Fence
+{
+    static constexpr const char *Type = "fence";
+    std::string job;
+    std::uint64_t jobEpoch = 0;
+    std::string owner;
+};
+template<class Fields>
+void describe(Fields &fields, Fence &fence)
+{
+    fields("job", fence.job);
+    fields("jobEpoch", fence.jobEpoch);
+    fields("owner", fence.owner);
+}
+
+// The owner holds the lease that the agent offered.
+struct LeaseTaken
+{
+    static constexpr const char *Type = "lease-taken";
+    std::string owner;
+    std::uint64_t ownerIncarnation = 0;
+    std::uint64_t leaseEpoch = 0;
+    std::uint64_t agentIncarnation = 0;
+};
+template<class Fields>
+void describe(Fields &fields, LeaseTaken &taken)
+{
+    fields("owner", taken.owner);
+    fields("ownerIncarnation", taken.ownerIncarnation);
+    fields("leaseEpoch", taken.leaseEpoch);
+    fields("agentIncarnation", taken.agentIncarnation);
+}
+
+// [SECTION] From the agent
+
+// All slots of this worker are yours until you stop answering or a higher epoch is offered.
+struct LeaseOffer
+{
+    static constexpr const char *Type = "lease-offer";
+    std::string agent;
+    std::uint64_t agentIncarnation = 0;
+    std::uint64_t leaseEpoch = 0;
+    std::string service;
+    std::string dataCentre;
+    std::uint32_t slots = 0;
+
+    // Slots taken by tasks of any owner, the earlier ones included.
+    std::uint32_t busy = 0;
+
+    // The endpoint is leaving: finish what runs, send nothing new.
+    bool leaving = false;
+};
+template<class Fields>
+void describe(Fields &fields, LeaseOffer &offer)
+{
+    fields("agent", offer.agent);
+    fields("agentIncarnation", offer.agentIncarnation);
+    fields("leaseEpoch", offer.leaseEpoch);
+    fields("service", offer.service);
+    fields("dataCentre", offer.dataCentre);
+    fields("slots", offer.slots);
+    fields("busy", offer.busy);
+    fields("leaving", offer.leaving);
+}
+
+// The task ran to its end. Repeated until settled.
+struct Finished
+{
+    static constexpr const char *Type = "finished";
+    TaskRef ref;
+    std::string agent;
+    std::uint64_t agentIncarnation = 0;
+    TaskEnd end = TaskEnd::Failed;
+    std::string body;
+
+    // Measured at the agent around the call to the endpoint.
+    Microseconds runTime { 0 };
+};
+template<class Fields>
+void describe(Fields &fields, Finished &finished)
+{
+    fields("ref", finished.ref);
+    fields("agent", finished.agent);
+    fields("agentIncarnation", finished.agentIncarnation);
+    fields("end", finished.end);
+    fields("body", finished.body);
+    fields("runTime", finished.runTime);
+}
+
+// The task did not start and this attempt never will.
+struct NotStarted
+{
+    static constexpr const char *Type = "not-started";
+    TaskRef ref;
+    std::string agent;
+    std::uint64_t agentIncarnation = 0;
+    RefusalCause cause = RefusalCause::WrongLease;
+};
+template<class Fields>
+void describe(Fields &fields, NotStarted &message)
+{
+    fields("ref", message.ref);
+    fields("agent", message.agent);
+    fields("agentIncarnation", message.agentIncarnation);
+    fields("cause", message.cause);
+}
+
+// The task runs here: the answer to a Void that came too late.
+struct Started
+{
+    static constexpr const char *Type = "started";
+    TaskRef ref;
+    std::string agent;
+    std::uint64_t agentIncarnation = 0;
+};
+template<class Fields>
+void describe(Fields &fields, Started &message)
+{
+    fields("ref", message.ref);
+    fields("agent", message.agent);
+    fields("agentIncarnation", message.agentIncarnation);
+}
+
+// Sent to entries whose tasks still run here although the slots are leased to another entry by now.
+struct Alive
+{
+    static constexpr const char *Type = "alive";
+    std::string agent;
+    std::uint64_t agentIncarnation = 0;
+};
+template<class Fields>
+void describe(Fields &fields, Alive &alive)
+{
+    fields("agent", alive.agent);
+    fields("agentIncarnation", alive.agentIncarnation);
+}
+
+// The answer to a Fence: all that this incarnation of the agent knows of the job.
+struct Fenced
+{
+    static constexpr const char *Type = "fenced";
+    std::string job;
+    std::uint64_t jobEpoch = 0;
+    std::string agent;
+    std::uint64_t agentIncarnation = 0;
+    std::vector<KnownTask> tasks;
+};
+template<class Fields>
+void describe(Fields &fields, Fenced &fenced)
+{
+    fields("job", fenced.job);
+    fields("jobEpoch", fenced.jobEpoch);
+    fields("agent", fenced.agent);
+    fields("agentIncarnation", fenced.agentIncarnation);
+    fields("tasks", fenced.tasks);
+}
+
+// [SECTION] Variants
+
+using ToAgent = std::variant<Start, Void, Cancel, Settle, Fence, LeaseTaken>;
+using FromAgent = std::variant<LeaseOffer, Finished, NotStarted, Started, Alive, Fenced>;
+
+} // namespace foxwing::agent
--- /dev/null
+++ b/packages/claims/include/foxwing/claims/messages.h
@@ -0,0 +1,259 @@
+/*
+    What entries tell each other about claims.
+
+    All messages are one-way; the sender repeats until it is answered.
+
+    [SECTION] Records
+    [SECTION] Claiming
+    [SECTION] Replication
+    [SECTION] Transfer
+    [SECTION] Variant
+*/
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <foxwing/claims/view.h>
+
+namespace foxwing::claims {
+
+// [SECTION] Records
+
+// One submission that was claimed.
+struct Record
+{
+    // "team/submission"
+    std::string job;
+
+    // Digest of the request's body: the same id with another body is a conflict.
+    std::string digest;
+
+    // Who runs it, and for the how-manieth owner that is.
+    Replica owner;
+    std::uint64_t epoch = 1;
+
+    // The ask that made this owner, so that a repeated ask gets the same answer.
+    std::uint64_t nonce = 0;
+
+    // When the claim was made, by the home's clock; milliseconds since 1970.
+    std::int64_t claimedAt = 0;
+
+    // Ended as "not run": nothing of it ever starts.
+    bool notRun = false;
+};
+template<class Fields>
+void describe(Fields &fields, Record &record)
+{
+    fields("job", record.job);
+    fields("digest", record.digest);
+    fields("owner", record.owner);
+    fields("epoch", record.epoch);
+    fields("nonce", record.nonce);
+    fields("claimedAt", record.claimedAt);
+    fields("notRun", record.notRun);
+}
+
+// [SECTION] Claiming
+
+enum class AskKind {
+    // Claim it for the asker, or say who has it.
+    Claim,
+    // It was refused: if nobody has it, make sure that nobody ever will.
+    Refuse,
+    // Only say who has it.
+    Look,
+};
+
+struct Ask
+{
+    static constexpr const char *Type = "claim-ask";
+    Replica from;
+    std::string job;
+    std::string digest;
+    std::uint64_t nonce = 0;
+    AskKind kind = AskKind::Claim;
+};
+template<class Fields>
+void describe(Fields &fields, Ask &ask)
+{
+    fields("from", ask.from);
+    fields("job", ask.job);
+    fields("digest", ask.digest);
+    fields("nonce", ask.nonce);
+    fields("kind", ask.kind);
+}
+
+enum class Verdict {
+    // The asker is the owner, in the epoch given.
+    Granted,
+    // Another entry is.
+    Owned,
+    // The id was used with another body.
+    Conflict,
+    // Ended as "not run".
+    NotRun,
+    // Nobody has it (answers to Look only).
+    Absent,
+    // Its owner is lost, and the asker did not ask to take it over.
+    OwnerLost,
+    // Claims of that age may have been forgotten; it must not be started.
+    Unknown,
+    // Not in service here at present.
+    Retry,
+};
+
+struct AskAnswer
+{
+    static constexpr const char *Type = "claim-answer";
+    std::string job;
+    std::uint64_t nonce = 0;
+    Verdict verdict = Verdict::Retry;
+    Replica owner;
+    std::uint64_t epoch = 0;
+    std::int64_t claimedAt = 0;
+};
+template<class Fields>
+void describe(Fields &fields, AskAnswer &answer)
+{
+    fields("job", answer.job);
+    fields("nonce", answer.nonce);
+    fields("verdict", answer.verdict);
+    fields("owner", answer.owner);
+    fields("epoch", answer.epoch);
+    fields("claimedAt", answer.claimedAt);
+}
+
+// The owner ends a job of which nothing ever started.
+struct Release
+{
+    static constexpr const char *Type = "claim-release";
+    Replica from;
+    std::string job;
+    std::uint64_t epoch = 0;
+};
+template<class Fields>
+void describe(Fields &fields, Release &release)
+{
+    fields("from", release.from);
+    fields("job", release.job);
+    fields("epoch", release.epoch);
+}
+
+struct Released
+{
+    static constexpr const char *Type = "claim-released";
+    std::string job;
+    std::uint64_t epoch = 0;
+
+    // False if another entry has taken the job over meanwhile.
+    bool stillOwner = false;
+};
+template<class Fields>
+void describe(Fields &fields, Released &released)
+{
+    fields("job", released.job);
+    fields("epoch", released.epoch);
+    fields("stillOwner", released.stillOwner);
+}
+
+// [SECTION] Replication
+
+struct Copy
+{
+    static constexpr const char *Type = "claim-copy";
+    std::string from;
+    std::uint64_t view = 0;
+    Record record;
+};
+template<class Fields>
+void describe(Fields &fields, Copy &copy)
+{
+    fields("from", copy.from);
+    fields("view", copy.view);
+    fields("record", copy.record);
+}
+
+struct Copied
+{
+    static constexpr const char *Type = "claim-copied";
+    std::string from;
+    std::uint64_t view = 0;
+    std::string job;
+    std::uint64_t epoch = 0;
+    bool notRun = false;
+};
+template<class Fields>
+void describe(Fields &fields, Copied &copied)
+{
+    fields("from", copied.from);
+    fields("view", copied.view);
+    fields("job", copied.job);
+    fields("epoch", copied.epoch);
+    fields("notRun", copied.notRun);
+}
+
+// [SECTION] Transfer
+
+// One part of a shard, from a replica of its base to one of its new replicas.
+struct ShardPart
+{
+    static constexpr const char *Type = "shard-part";
+    std::string from;
+    std::uint64_t view = 0;
+    std::uint32_t shard = 0;
+    std::uint32_t part = 0;
+    std::uint32_t parts = 1;
+    std::vector<Record> records;
+};
+template<class Fields>
+void describe(Fields &fields, ShardPart &part)
+{
+    fields("from", part.from);
+    fields("view", part.view);
+    fields("shard", part.shard);
+    fields("part", part.part);
+    fields("parts", part.parts);
+    fields("records", part.records);
+}
+
+struct ShardPartTaken
+{
+    static constexpr const char *Type = "shard-part-taken";
+    std::string from;
+    std::uint64_t view = 0;
+    std::uint32_t shard = 0;
+    std::uint32_t part = 0;
+};
+template<class Fields>
+void describe(Fields &fields, ShardPartTaken &taken)
+{
+    fields("from", taken.from);
+    fields("view", taken.view);
+    fields("shard", taken.shard);
+    fields("part", taken.part);
+}
+
+// A replica has all claims of these shards in this view; to the home of each.
+struct ShardsHeld
+{
+    static constexpr const char *Type = "shards-held";
+    std::string from;
+    std::uint64_t view = 0;
+    std::vector<std::uint32_t> shards;
+};
+template<class Fields>
+void describe(Fields &fields, ShardsHeld &held)
+{
+    fields("from", held.from);
+    fields("view", held.view);
+    fields("shards", held.shards);
+}
+
+// [SECTION] Variant
+
+using ClaimMessage = std::variant<Ask, AskAnswer, Release, Released, Copy, Copied, ShardPart,
+                                  ShardPartTaken, ShardsHeld>;
+
+} // namespace foxwing::claims
--- /dev/null
+++ b/packages/claims/src/claims.cpp
@@ -0,0 +1,389 @@
+/*
+    Granting, copying and forgetting claims.
+
+    [SECTION] Service
+    [SECTION] Answers
+    [SECTION] Replication
+    [SECTION] Asks
+    [SECTION] Entry points
+*/
+#include <foxwing/claims/claims.h>
+
+#include <algorithm>
+
+#include <foxwing/base/guards.h>
+#include <foxwing/base/submissionid.h>
+
+#include "shardtransfer.h"
+
+namespace foxwing::claims {
+
+namespace {
+
+// [SECTION] Service
+
+bool masterLeaseHolds(const ClaimTable &table, Time now)
+{
+    return table.masterHeard && now < table.masterHeardAt + table.settings.masterLease;
+}
+
+// When the id of "team/submission" was made; none for an id that is no submission id.
+std::optional<WallTime> madeAt(const std::string &job)
+{
+    const std::size_t slash = job.rfind('/');
+    Error ignored;
+    return submissionTime(job.substr(slash == std::string::npos ? 0 : slash + 1), &ignored);
+}
+
+// Whether a record of an id this old may have been lost or forgotten.
+bool mayBeForgotten(const ClaimTable &table, const Shard &shard, const std::string &job,
+                    WallTime wallNow)
+{
+    const std::optional<WallTime> made = madeAt(job);
+    if (!made)
+        return true;
+    return made->time_since_epoch().count() <= shard.floor
+            || *made + table.settings.retention <= wallNow;
+}
+
+// [SECTION] Answers
+
+void answer(const Waiter &waiter, const HeldRecord &held, const Replica &asker,
+            ClaimActions &actions)
+{
+    const Record &record = held.record;
+    AskAnswer message;
+    message.job = record.job;
+    message.nonce = waiter.nonce;
+    message.owner = record.owner;
+    message.epoch = record.epoch;
+    message.claimedAt = record.claimedAt;
+    message.verdict = Verdict::Owned;
+    if (record.notRun)
+        message.verdict = Verdict::NotRun;
+    else if (record.owner == asker && record.nonce == waiter.nonce)
+        message.verdict = Verdict::Granted;
+    actions.sends.push_back({ waiter.to, message });
+}
+
+void answerWaiter(const Waiter &waiter, const HeldRecord &held, ClaimActions &actions)
+{
+    if (waiter.isRelease) {
+        const Released released { held.record.job, held.record.epoch, held.record.notRun };
+        actions.sends.push_back({ waiter.to, released });
+        return;
+    }
+    // Only the present owner's ask carries its nonce, so the id alone tells whether it is granted.
+    const Replica asker { waiter.to,
+                          held.record.owner.id == waiter.to ? held.record.owner.incarnation : 0 };
+    answer(waiter, held, asker, actions);
+}
+
+void answerVerdict(const Ask &ask, Verdict verdict, ClaimActions &actions)
+{
+    AskAnswer message;
+    message.job = ask.job;
+    message.nonce = ask.nonce;
+    message.verdict = verdict;
+    actions.sends.push_back({ ask.from.id, message });
+}
+
+// [SECTION] Replication
+
+void sendCopies(ClaimTable &table, HeldRecord &held, Time now, ClaimActions &actions)
+{
+    for (const std::string &replica : held.unacknowledged) {
+        const Copy copy { table.settings.self.id, table.view.number, held.record };
+        actions.sends.push_back({ replica, copy });
+    }
+    held.nextSend = now + table.settings.resendInterval;
+}
+
+void commit(HeldRecord &held, ClaimActions &actions)
+{
+    for (const Waiter &waiter : held.waiters)
+        answerWaiter(waiter, held, actions);
+    held.waiters.clear();
+}
+
+// A new or changed record goes to the other replicas; waiters are answered when all have it.
+void replicate(ClaimTable &table, HeldRecord &held, Time now, ClaimActions &actions)
+{
+    held.unacknowledged.clear();
+    for (const Replica &replica : table.replicas[shardOf(held.record.job)]) {
+        if (!(replica == table.settings.self))
+            held.unacknowledged.push_back(replica.id);
+    }
+    if (held.unacknowledged.empty())
+        return commit(held, actions);
+    table.uncommitted.push_back(held.record.job);
+    sendCopies(table, held, now, actions);
+}
+
+void handleCopy(ClaimTable &table, const Copy &copy, ClaimActions &actions)
+{
+    const std::uint32_t number = shardOf(copy.record.job);
+    Shard &shard = table.shards[number];
+    if (copy.view != table.view.number || shard.heldIn != table.view.number)
+        return; // the home repeats it until this entry has caught up
+    HeldRecord &held = shard.records[copy.record.job];
+    if (copy.record.epoch >= held.record.epoch) {
+        held.record = copy.record;
+        table.ages.push_back({ copy.record.claimedAt, copy.record.job });
+    }
+    Copied copied;
+    copied.from = table.settings.self.id;
+    copied.view = copy.view;
+    copied.job = copy.record.job;
+    copied.epoch = copy.record.epoch;
+    copied.notRun = copy.record.notRun;
+    actions.sends.push_back({ copy.from, copied });
+}
+
+void handleCopied(ClaimTable &table, const Copied &copied, ClaimActions &actions)
+{
+    Shard &shard = table.shards[shardOf(copied.job)];
+    const auto found = shard.records.find(copied.job);
+    if (copied.view != table.view.number || found == shard.records.end())
+        return;
+    HeldRecord &held = found->second;
+    if (copied.epoch != held.record.epoch || copied.notRun != held.record.notRun)
+        return;
+    std::vector<std::string> &missing = held.unacknowledged;
+    missing.erase(std::remove(missing.begin(), missing.end(), copied.from), missing.end());
+    if (missing.empty())
+        commit(held, actions);
+}
+
+// [SECTION] Asks
+
+void makeRecord(ClaimTable &table, HeldRecord &held, const Ask &ask, WallTime wallNow)
+{
+    Record &record = held.record;
+    record.job = ask.job;
+    record.digest = ask.digest;
+    record.owner = ask.from;
+    record.nonce = ask.nonce;
+    record.claimedAt = wallNow.time_since_epoch().count();
+    record.notRun = ask.kind == AskKind::Refuse;
+    table.ages.push_back({ record.claimedAt, record.job });
+    ++table.counters.granted;
+}
+
+void handleNew(ClaimTable &table, Shard &shard, const Ask &ask, Time now, WallTime wallNow,
+               ClaimActions &actions)
+{
+    if (ask.kind == AskKind::Look)
+        return answerVerdict(ask, Verdict::Absent, actions);
+    if (mayBeForgotten(table, shard, ask.job, wallNow)) {
+        ++table.counters.unknown;
+        return answerVerdict(ask, Verdict::Unknown, actions);
+    }
+    HeldRecord &held = shard.records[ask.job];
+    makeRecord(table, held, ask, wallNow);
+    held.waiters.push_back({ ask.from.id, ask.nonce, false });
+    replicate(table, held, now, actions);
+}
+
+void takeOver(ClaimTable &table, HeldRecord &held, const Ask &ask, Time now, ClaimActions &actions)
+{
+    ++table.counters.takeovers;
+    held.record.owner = ask.from;
+    held.record.nonce = ask.nonce;
+    ++held.record.epoch;
+    held.waiters.push_back({ ask.from.id, ask.nonce, false });
+    replicate(table, held, now, actions);
+}
+
+void handleKnown(ClaimTable &table, HeldRecord &held, const Ask &ask, Time now,
+                 ClaimActions &actions)
+{
+    if (ask.kind != AskKind::Look && ask.digest != held.record.digest) {
+        ++table.counters.conflicts;
+        return answerVerdict(ask, Verdict::Conflict, actions);
+    }
+    const bool ownerLost = !held.record.notRun && !isMember(table.view, held.record.owner);
+    if (ownerLost && ask.kind == AskKind::Claim)
+        return takeOver(table, held, ask, now, actions);
+    if (ownerLost)
+        return answerVerdict(ask, Verdict::OwnerLost, actions);
+    ++table.counters.joined;
+    held.waiters.push_back({ ask.from.id, ask.nonce, false });
+    if (held.unacknowledged.empty())
+        commit(held, actions);
+}
+
+void handleAsk(ClaimTable &table, const Ask &ask, Time now, WallTime wallNow, ClaimActions &actions)
+{
+    const std::uint32_t number = shardOf(ask.job);
+    const bool mayServe = servesShard(table, number) && masterLeaseHolds(table, now)
+            && isMember(table.view, ask.from);
+    if (!mayServe) {
+        ++table.counters.retries;
+        return answerVerdict(ask, Verdict::Retry, actions);
+    }
+    Shard &shard = table.shards[number];
+    const auto found = shard.records.find(ask.job);
+    if (found == shard.records.end() || !holds(Guard::Claim))
+        return handleNew(table, shard, ask, now, wallNow, actions);
+    handleKnown(table, found->second, ask, now, actions);
+}
+
+void handleRelease(ClaimTable &table, const Release &release, Time now, ClaimActions &actions)
+{
+    const std::uint32_t number = shardOf(release.job);
+    if (!servesShard(table, number) || !masterLeaseHolds(table, now))
+        return; // the owner repeats it, to whoever is the home by then
+    Shard &shard = table.shards[number];
+    const auto found = shard.records.find(release.job);
+    const bool stillOwner = found != shard.records.end()
+            && found->second.record.owner == release.from
+            && found->second.record.epoch == release.epoch;
+    if (!stillOwner) {
+        const Released released { release.job, release.epoch, false };
+        actions.sends.push_back({ release.from.id, released });
+        return;
+    }
+    HeldRecord &held = found->second;
+    held.waiters.push_back({ release.from.id, 0, true });
+    if (!held.record.notRun) {
+        held.record.notRun = true;
+        replicate(table, held, now, actions);
+    } else if (held.unacknowledged.empty()) {
+        commit(held, actions);
+    }
+}
+
+void resendCopies(ClaimTable &table, Time now, ClaimActions &actions)
+{
+    std::vector<std::string> jobs;
+    jobs.swap(table.uncommitted);
+    for (const std::string &job : jobs) {
+        Shard &shard = table.shards[shardOf(job)];
+        const auto found = shard.records.find(job);
+        if (found == shard.records.end() || found->second.unacknowledged.empty())
+            continue;
+        if (now >= found->second.nextSend)
+            sendCopies(table, found->second, now, actions);
+        table.uncommitted.push_back(job);
+    }
+}
+
+void forgetOld(ClaimTable &table, WallTime wallNow)
+{
+    // Twice the skew: the id may be ahead of this clock, and the next home's clock behind it.
+    const WallTime limit = wallNow - table.settings.retention - 2 * table.settings.clockSkew;
+    const std::int64_t oldest = limit.time_since_epoch().count();
+    while (!table.ages.empty() && table.ages.front().claimedAt < oldest) {
+        const std::string &job = table.ages.front().job;
+        table.shards[shardOf(job)].records.erase(job);
+        table.ages.pop_front();
+    }
+}
+
+} // namespace
+
+// [SECTION] Entry points
+
+ClaimTable makeClaimTable(const ClaimSettings &settings)
+{
+    ClaimTable table;
+    table.settings = settings;
+    table.view.bases.resize(ShardCount);
+    return table;
+}
+
+ClaimActions setView(ClaimTable &table, const View &view, Time now)
+{
+    ClaimActions actions;
+    if (!isNewer(view, table.view) || view.bases.size() != ShardCount)
+        return actions;
+    const bool newNumber = view.number != table.view.number;
+    table.view = view;
+    if (newNumber)
+        beginTransfer(table, now, actions);
+    return actions;
+}
+
+void hearMaster(ClaimTable &table, Time now)
+{
+    table.masterHeard = true;
+    table.masterHeardAt = now;
+}
+
+ClaimActions handle(ClaimTable &table, const ClaimMessage &message, Time now, WallTime wallNow)
+{
+    ClaimActions actions;
+    if (const auto *ask = std::get_if<Ask>(&message))
+        handleAsk(table, *ask, now, wallNow, actions);
+    else if (const auto *release = std::get_if<Release>(&message))
+        handleRelease(table, *release, now, actions);
+    else if (const auto *copy = std::get_if<Copy>(&message))
+        handleCopy(table, *copy, actions);
+    else if (const auto *copied = std::get_if<Copied>(&message))
+        handleCopied(table, *copied, actions);
+    else if (const auto *part = std::get_if<ShardPart>(&message))
+        handlePart(table, *part, actions);
+    else if (const auto *taken = std::get_if<ShardPartTaken>(&message))
+        handlePartTaken(table, *taken);
+    else if (const auto *held = std::get_if<ShardsHeld>(&message))
+        handleHeld(table, *held);
+    return actions;
+}
+
+ClaimActions tick(ClaimTable &table, Time now, WallTime wallNow)
+{
+    ClaimActions actions;
+    resendCopies(table, now, actions);
+    tickTransfer(table, now, actions);
+    forgetOld(table, wallNow);
+    return actions;
+}
+
+Replica homeOf(const ClaimTable &table, const std::string &job)
+{
+    const std::vector<Replica> &replicas = table.replicas[shardOf(job)];
+    return replicas.empty() ? Replica {} : replicas[0];
+}
+
+bool servesShard(const ClaimTable &table, std::uint32_t shard)
+{
+    const std::vector<Replica> &replicas = table.replicas[shard];
+    return table.view.number != 0 && !replicas.empty() && replicas[0] == table.settings.self
+            && table.shards[shard].heldIn == table.view.number
+            && table.view.bases[shard].activeIn == table.view.number;
+}
+
+std::vector<std::uint32_t> readyShards(const ClaimTable &table)
+{
+    std::vector<std::uint32_t> ready;
+    for (std::uint32_t number = 0; number < ShardCount; ++number) {
+        const std::vector<Replica> &replicas = table.replicas[number];
+        const Shard &shard = table.shards[number];
+        const bool home = !replicas.empty() && replicas[0] == table.settings.self
+                && shard.heldIn == table.view.number && table.view.number != 0;
+        const bool active = table.view.bases[number].activeIn == table.view.number;
+        if (home && !active && shard.heldBy.size() + 1 >= replicas.size())
+            ready.push_back(number);
+    }
+    return ready;
+}
+
+bool allShardsActive(const ClaimTable &table)
+{
+    return table.view.number != 0
+            && std::all_of(table.view.bases.begin(), table.view.bases.end(),
+                           [&](const ShardBase &base) {
+                               return base.activeIn == table.view.number;
+                           });
+}
+
+std::size_t recordCount(const ClaimTable &table)
+{
+    std::size_t count = 0;
+    for (const Shard &shard : table.shards)
+        count += shard.records.size();
+    return count;
+}
+
+} // namespace foxwing::claims
--- /dev/null
+++ b/packages/claims/src/view.cpp
@@ -0,0 +1,61 @@
+/*
+    Shards, replicas and members of a view.
+
+    [SECTION] Functions
+*/
+#include <foxwing/claims/view.h>
+
+#include <algorithm>
+
+#include <foxwing/base/digest.h>
+
+namespace foxwing::claims {
+
+// [SECTION] Functions
+
+std::uint32_t shardOf(const std::string &job)
+{
+    return static_cast<std::uint32_t>(hash64(job) % ShardCount);
+}
+
+std::vector<Replica> replicasOf(const View &view, std::uint32_t shard)
+{
+    const std::string key = "shard " + std::to_string(shard);
+    std::vector<const Member *> ranked;
+    for (const Member &member : view.members)
+        ranked.push_back(&member);
+    std::sort(ranked.begin(), ranked.end(), [&](const Member *left, const Member *right) {
+        return rendezvousWeight(key, left->replica.id) > rendezvousWeight(key, right->replica.id);
+    });
+    std::vector<Replica> chosen;
+    std::vector<std::string> dataCentres;
+    // First one replica in each data centre, then, if more are wanted, any.
+    for (int round = 0; round < 2; ++round) {
+        for (const Member *member : ranked) {
+            const bool near = std::find(dataCentres.begin(), dataCentres.end(), member->dataCentre)
+                    != dataCentres.end();
+            const bool taken = std::find(chosen.begin(), chosen.end(), member->replica)
+                    != chosen.end();
+            if (chosen.size() >= view.replicaCount || taken || (round == 0 && near))
+                continue;
+            chosen.push_back(member->replica);
+            dataCentres.push_back(member->dataCentre);
+        }
+    }
+    return chosen;
+}
+
+bool isMember(const View &view, const Replica &replica)
+{
+    return std::any_of(view.members.begin(), view.members.end(),
+                       [&](const Member &member) { return member.replica == replica; });
+}
+
+bool isNewer(const View &view, const View &than)
+{
+    if (view.number != than.number)
+        return view.number > than.number;
+    return view.update > than.update;
+}
+
+} // namespace foxwing::claims
--- /dev/null
+++ b/packages/control/include/foxwing/control/messages.h
@@ -0,0 +1,140 @@
+/*
+    What nodes and control tell each other.
+
+    Every node sends a Beat about once a second; control answers each with an Update that carries
+    whatever the node lacks: changed resources, the newest view, the newest list of agents.
+
+    [SECTION] Beat
+    [SECTION] Update
+    [SECTION] Variant
+*/
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <foxwing/claims/view.h>
+#include <foxwing/control/resources.h>
+
+namespace foxwing::control {
+
+// [SECTION] Beat
+
+struct Beat
+{
+    static constexpr const char *Type = "beat";
+
+    // Identity
+    std::string id;
+    std::uint64_t incarnation = 0;
+    std::string address;
+    std::string dataCentre;
+    bool isEntry = false;
+    bool isAgent = false;
+
+    // Agents only
+    std::string service;
+    std::uint32_t slots = 0;
+
+    // Grows with each beat of this life; comes back in the Update.
+    std::uint64_t number = 0;
+
+    // What the node has and applies
+    std::uint64_t revision = 0;
+    std::uint64_t view = 0;
+    std::uint64_t viewUpdate = 0;
+    std::uint64_t agentsVersion = 0;
+
+    // Entries only: shards that can go into service in that view.
+    std::vector<std::uint32_t> readyShards;
+
+    // The node stops for good: it has finished, and is not to be waited for.
+    bool leaving = false;
+};
+template<class Fields>
+void describe(Fields &fields, Beat &beat)
+{
+    fields("id", beat.id);
+    fields("incarnation", beat.incarnation);
+    fields("address", beat.address);
+    fields("dataCentre", beat.dataCentre);
+    fields("isEntry", beat.isEntry);
+    fields("isAgent", beat.isAgent);
+    fields("service", beat.service);
+    fields("slots", beat.slots);
+    fields("number", beat.number);
+    fields("revision", beat.revision);
+    fields("view", beat.view);
+    fields("viewUpdate", beat.viewUpdate);
+    fields("agentsVersion", beat.agentsVersion);
+    fields("readyShards", beat.readyShards);
+    fields("leaving", beat.leaving);
+}
+
+// [SECTION] Update
+
+// An agent that runs, or that was lost not long ago.
+struct AgentHint
+{
+    std::string id;
+    std::string address;
+    std::string service;
+
+    // When a life of it ended last; milliseconds since 1970, 0 for never.
+    std::int64_t lostAt = 0;
+    bool live = false;
+};
+template<class Fields>
+void describe(Fields &fields, AgentHint &hint)
+{
+    fields("id", hint.id);
+    fields("address", hint.address);
+    fields("service", hint.service);
+    fields("lostAt", hint.lostAt);
+    fields("live", hint.live);
+}
+
+struct Update
+{
+    static constexpr const char *Type = "update";
+
+    // Of the beat that this answers.
+    std::uint64_t number = 0;
+    std::uint64_t incarnation = 0;
+
+    // Resources up to this revision. With reset they are all there are; else those that changed
+    // since the revision the node had.
+    std::uint64_t revision = 0;
+    bool reset = false;
+    std::vector<Resource> changes;
+
+    // Not older than the node's, or absent (number 0).
+    claims::View view;
+
+    // Entries only: all agents, if the node's list is older than this version.
+    std::uint64_t agentsVersion = 0;
+    bool hasAgents = false;
+    std::vector<AgentHint> agents;
+};
+template<class Fields>
+void describe(Fields &fields, Update &update)
+{
+    fields("number", update.number);
+    fields("incarnation", update.incarnation);
+    fields("revision", update.revision);
+    fields("reset", update.reset);
+    fields("changes", update.changes);
+    fields("view", update.view);
+    fields("agentsVersion", update.agentsVersion);
+    fields("hasAgents", update.hasAgents);
+    fields("agents", update.agents);
+}
+
+// [SECTION] Variant
+
+using ToControl = std::variant<Beat>;
+using FromControl = std::variant<Update>;
+
+} // namespace foxwing::control
--- /dev/null
+++ b/packages/control/src/control.cpp
@@ -0,0 +1,286 @@
+/*
+    Control's decisions.
+
+    [SECTION] Nodes
+    [SECTION] Updates
+    [SECTION] Views
+    [SECTION] Entry points
+*/
+#include <foxwing/control/control.h>
+
+#include <algorithm>
+
+namespace foxwing::control {
+
+namespace {
+
+// A tick that comes later than this shows that control itself stood still.
+constexpr Milliseconds LongestTickGap { 500 };
+
+// Resources in one update; the rest follows with the next beats.
+constexpr std::size_t ChangesInUpdate = 200;
+
+// [SECTION] Nodes
+
+void endLife(ControlState &control, NodeRecord &node, Time now, WallTime wallNow)
+{
+    node.live = false;
+    node.diedAt = now;
+    node.lostAt = wallNow.time_since_epoch().count();
+    ++control.agentsVersion;
+}
+
+// The death of a process that came back before its silence was noticed.
+void noteRestart(ControlState &control, NodeRecord &node, WallTime wallNow)
+{
+    ++control.counters.restarts;
+    node.lostAt = wallNow.time_since_epoch().count();
+    ++control.agentsVersion;
+}
+
+NodeRecord *takeBeat(ControlState &control, const Beat &beat, Time now, WallTime wallNow)
+{
+    const auto inserted = control.nodes.try_emplace(beat.id);
+    NodeRecord &node = inserted.first->second;
+    const bool known = !inserted.second;
+    if (known && beat.incarnation < node.last.incarnation)
+        return nullptr; // a late word of an earlier life
+    if (known && beat.incarnation > node.last.incarnation)
+        noteRestart(control, node, wallNow);
+    if (!known || !node.live || beat.address != node.last.address)
+        ++control.agentsVersion;
+    node.live = !beat.leaving;
+    node.last = beat;
+    node.heardAt = now;
+    return &node;
+}
+
+void buryDead(ControlState &control, Time now, WallTime wallNow)
+{
+    for (auto &entry : control.nodes) {
+        NodeRecord &node = entry.second;
+        if (!node.live || now < node.heardAt + control.settings.deadAfter)
+            continue;
+        ++control.counters.deaths;
+        endLife(control, node, now, wallNow);
+    }
+}
+
+void forgetDead(ControlState &control, Time now)
+{
+    for (auto it = control.nodes.begin(); it != control.nodes.end();) {
+        const bool old = !it->second.live
+                && now >= it->second.diedAt + control.settings.agentMemory;
+        it = old ? control.nodes.erase(it) : std::next(it);
+    }
+}
+
+// If this process stood still, nobody else was silent.
+void forgivePause(ControlState &control, Time now)
+{
+    const Microseconds gap = control.ticked ? now - control.lastTick : Microseconds::zero();
+    control.ticked = true;
+    control.lastTick = now;
+    if (gap < LongestTickGap)
+        return;
+    for (auto &entry : control.nodes)
+        entry.second.heardAt += gap;
+}
+
+// [SECTION] Updates
+
+bool wants(const Beat &beat, const Resource &resource)
+{
+    return beat.isEntry || (resource.kind == "service" && resource.name == beat.service);
+}
+
+void addChanges(const ControlState &control, const Beat &beat, Update &update)
+{
+    const Store &store = control.cluster.store;
+    update.revision = store.revision;
+    if (beat.revision == store.revision)
+        return;
+    Error ignored;
+    const auto missed = changesSince(store, beat.revision, &ignored);
+    if (missed) {
+        for (const Resource &change : *missed) {
+            if (update.changes.size() == ChangesInUpdate) {
+                update.revision = change.revision - 1;
+                return;
+            }
+            if (wants(beat, change))
+                update.changes.push_back(change);
+        }
+        return;
+    }
+    update.reset = true;
+    for (const auto &resource : store.resources) {
+        if (wants(beat, resource.second))
+            update.changes.push_back(resource.second);
+    }
+}
+
+void addView(const ControlState &control, const Beat &beat, Update &update)
+{
+    const claims::View &view = control.cluster.view;
+    claims::View held;
+    held.number = beat.view;
+    held.update = beat.viewUpdate;
+    if (!claims::isNewer(view, held))
+        return;
+    update.view = view;
+    // Only entries keep claims.
+    if (!beat.isEntry)
+        update.view.bases.clear();
+}
+
+void addAgents(const ControlState &control, const Beat &beat, Update &update)
+{
+    update.agentsVersion = control.agentsVersion;
+    if (!beat.isEntry || beat.agentsVersion == control.agentsVersion)
+        return;
+    update.hasAgents = true;
+    for (const auto &entry : control.nodes) {
+        const NodeRecord &node = entry.second;
+        if (!node.last.isAgent)
+            continue;
+        update.agents.push_back(
+                { entry.first, node.last.address, node.last.service, node.lostAt, node.live });
+    }
+}
+
+Update makeUpdate(const ControlState &control, const Beat &beat)
+{
+    Update update;
+    update.number = beat.number;
+    update.incarnation = beat.incarnation;
+    addChanges(control, beat, update);
+    addView(control, beat, update);
+    addAgents(control, beat, update);
+    return update;
+}
+
+// [SECTION] Views
+
+std::vector<claims::Member> liveEntries(const ControlState &control)
+{
+    std::vector<claims::Member> members;
+    for (const auto &entry : control.nodes) {
+        const Beat &last = entry.second.last;
+        if (entry.second.live && last.isEntry)
+            members.push_back({ { last.id, last.incarnation }, last.address, last.dataCentre });
+    }
+    return members;
+}
+
+bool sameMembers(const std::vector<claims::Member> &left, const std::vector<claims::Member> &right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](const claims::Member &a, const claims::Member &b) {
+                          return a.replica == b.replica && a.address == b.address;
+                      });
+}
+
+void proposeView(ControlState &control, claims::View view, ControlActions &actions)
+{
+    control.viewProposed = true;
+    ++control.counters.views;
+    actions.proposals.push_back(ViewCommand { std::move(view) });
+}
+
+void takeReadyShards(ControlState &control, const Beat &beat)
+{
+    if (beat.view != control.cluster.view.number)
+        return;
+    for (const std::uint32_t number : beat.readyShards) {
+        if (number < claims::ShardCount)
+            control.readyShards.insert(number);
+    }
+}
+
+void proposeViews(ControlState &control, Time now, WallTime wallNow, ControlActions &actions)
+{
+    if (control.viewProposed)
+        return;
+    const claims::View &view = control.cluster.view;
+    std::vector<claims::Member> members = liveEntries(control);
+    if (!sameMembers(members, view.members) && now >= control.nextViewAt
+        && now >= control.settledAt) {
+        const std::int64_t floor =
+                (wallNow + control.settings.clockSkew).time_since_epoch().count();
+        control.readyShards.clear();
+        control.nextViewAt = now + control.settings.viewPause;
+        return proposeView(control,
+                           nextView(view, std::move(members), control.settings.replicaCount, floor),
+                           actions);
+    }
+    if (control.readyShards.empty())
+        return;
+    const std::vector<std::uint32_t> shards(control.readyShards.begin(), control.readyShards.end());
+    control.readyShards.clear();
+    claims::View next = activateShards(view, shards);
+    if (claims::isNewer(next, view))
+        proposeView(control, std::move(next), actions);
+}
+
+} // namespace
+
+// [SECTION] Entry points
+
+ControlState makeControl(const ControlSettings &settings, ClusterState cluster, Time now)
+{
+    ControlState control;
+    control.settings = settings;
+    control.cluster = std::move(cluster);
+    // After a restart the members of the last view need the time to beat once.
+    if (!control.cluster.view.members.empty())
+        control.settledAt = now + settings.deadAfter;
+    return control;
+}
+
+ControlActions handleBeat(ControlState &control, const Beat &beat, Time now, WallTime wallNow)
+{
+    ControlActions actions;
+    ++control.counters.beats;
+    if (!takeBeat(control, beat, now, wallNow))
+        return actions;
+    takeReadyShards(control, beat);
+    proposeViews(control, now, wallNow, actions);
+    Update update = makeUpdate(control, beat);
+    control.counters.changesSent += update.changes.size();
+    actions.sends.push_back({ beat.id, std::move(update) });
+    return actions;
+}
+
+ChangeResult committed(ControlState &control, const Command &command)
+{
+    if (std::holds_alternative<ViewCommand>(command))
+        control.viewProposed = false;
+    return applyCommand(control.cluster, command);
+}
+
+ControlActions tick(ControlState &control, Time now, WallTime wallNow)
+{
+    ControlActions actions;
+    forgivePause(control, now);
+    buryDead(control, now, wallNow);
+    forgetDead(control, now);
+    proposeViews(control, now, wallNow, actions);
+    return actions;
+}
+
+InForce inForce(const ControlState &control, std::uint64_t revision)
+{
+    InForce state;
+    state.revision = revision;
+    for (const auto &entry : control.nodes) {
+        if (!entry.second.live)
+            continue;
+        ++state.nodes;
+        if (entry.second.last.revision < revision)
+            state.lagging.push_back(entry.first);
+    }
+    return state;
+}
+
+} // namespace foxwing::control
--- /dev/null
+++ b/packages/control/src/validation.cpp
@@ -0,0 +1,158 @@
+/*
+    Validation of what operators declare.
+
+    [SECTION] Fields
+    [SECTION] Functions
+*/
+#include <foxwing/control/validation.h>
+
+#include <algorithm>
+
+namespace foxwing::control {
+
+// [SECTION] Fields
+
+namespace {
+
+constexpr std::size_t LongestName = 63;
+
+// Reads the members of a spec that are there, and finds those that should not be.
+class SpecReader
+{
+public:
+    SpecReader(const std::string &spec, const char *kind, Error *reason)
+        : m_kind(kind)
+        , m_reason(reason)
+    {
+        const auto json = parseJson(spec, reason);
+        m_ok = json.has_value();
+        if (!m_ok)
+            return;
+        m_json = *json;
+        if (!m_json.isObject())
+            refuse("spec", "must be an object");
+    }
+
+    void text(const char *name, std::string &value)
+    {
+        if (const Json::Value *member = take(name)) {
+            if (member->isString())
+                value = member->asString();
+            else
+                refuse(name, "must be a string");
+        }
+    }
+
+    template<class Number>
+    void whole(const char *name, Number &value, std::uint64_t least, std::uint64_t most)
+    {
+        if (const Json::Value *member = take(name)) {
+            if (member->isUInt64() && member->asUInt64() >= least && member->asUInt64() <= most)
+                value = static_cast<Number>(member->asUInt64());
+            else
+                refuse(name,
+                       "must be a whole number from " + std::to_string(least) + " to "
+                               + std::to_string(most));
+        }
+    }
+
+    void share(const char *name, double &value)
+    {
+        if (const Json::Value *member = take(name)) {
+            const bool fits = member->isNumeric() && member->asDouble() >= 0.01
+                    && member->asDouble() <= 1000;
+            if (fits)
+                value = member->asDouble();
+            else
+                refuse(name, "must be a number from 0.01 to 1000");
+        }
+    }
+
+    bool finish()
+    {
+        if (m_ok && !m_json.empty())
+            refuse(m_json.getMemberNames().front(), "is not known; remove it or mend its name");
+        return m_ok;
+    }
+
+private:
+    const Json::Value *take(const char *name)
+    {
+        if (!m_ok || !m_json.isMember(name))
+            return nullptr;
+        m_json.removeMember(name, &m_taken);
+        return &m_taken;
+    }
+
+    void refuse(const std::string &field, const std::string &what)
+    {
+        m_ok = false;
+        fail(m_reason, ErrorKind::BadRequest, std::string(m_kind) + ": \"" + field + "\" " + what);
+    }
+
+    const char *m_kind;
+    Error *m_reason;
+    Json::Value m_json;
+    Json::Value m_taken;
+    bool m_ok = true;
+};
+
+bool validName(const std::string &name)
+{
+    const auto fits = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+    };
+    return !name.empty() && name.size() <= LongestName && name.front() != '-'
+            && std::all_of(name.begin(), name.end(), fits);
+}
+
+} // namespace
+
+// [SECTION] Functions
+
+std::optional<TeamSpec> readTeamSpec(const std::string &spec, Error *reason)
+{
+    TeamSpec team;
+    SpecReader reader(spec, "team", reason);
+    reader.text("salt", team.salt);
+    reader.text("tokenHash", team.tokenHash);
+    reader.share("weight", team.weight);
+    reader.whole("concurrency", team.concurrency, 0, 1000000);
+    if (!reader.finish())
+        return std::nullopt;
+    if (team.salt.size() < 8 || team.tokenHash.size() != 64)
+        return fail(reason, ErrorKind::BadRequest,
+                    "team: \"salt\" and \"tokenHash\" must be as printed by: foxwing token");
+    return team;
+}
+
+std::optional<ServiceSpec> readServiceSpec(const std::string &spec, Error *reason)
+{
+    ServiceSpec service;
+    SpecReader reader(spec, "service", reason);
+    reader.whole("mostTasks", service.mostTasks, 1, 10000);
+    reader.whole("mostPayloadBytes", service.mostPayloadBytes, 1, 16U << 20U);
+    reader.whole("longestTimeMs", service.longestTimeMs, 1, 24U * 3600U * 1000U);
+    if (!reader.finish())
+        return std::nullopt;
+    return service;
+}
+
+bool validateChange(const ChangeRequest &change, Error *reason)
+{
+    if (!validName(change.name)) {
+        fail(reason, ErrorKind::BadRequest,
+             "\"name\" must have 1 to 63 lower-case letters, digits or dashes and not begin with a "
+             "dash");
+        return false;
+    }
+    if (change.kind == "team")
+        return change.remove || readTeamSpec(change.spec, reason).has_value();
+    if (change.kind == "service")
+        return change.remove || readServiceSpec(change.spec, reason).has_value();
+    fail(reason, ErrorKind::BadRequest,
+         "there is no kind \"" + change.kind + "\"; use team or service");
+    return false;
+}
+
+} // namespace foxwing::control
--- /dev/null
+++ b/packages/edge/src/httpserver.cpp
@@ -0,0 +1,223 @@
+/*
+    The listener.
+
+    [SECTION] Responder
+    [SECTION] Server
+*/
+#include <foxwing/edge/httpserver.h>
+
+#include <atomic>
+#include <boost/asio/ssl/context.hpp>
+#include <cpprest/http_listener.h>
+#include <pplx/threadpool.h>
+
+#include <foxwing/base/codec.h>
+
+namespace foxwing::edge {
+
+namespace http = web::http;
+
+// [SECTION] Responder
+
+class Responder::Impl
+{
+public:
+    explicit Impl(http::http_request request)
+        : m_request(std::move(request))
+    { }
+
+    void reply(int status, const std::string &contentType, const std::string &body,
+               Milliseconds retryAfter)
+    {
+        if (m_replied.exchange(true))
+            return;
+        http::http_response response(static_cast<http::status_code>(status));
+        response.set_body(body, contentType);
+        if (retryAfter.count() > 0)
+            response.headers().add("Retry-After",
+                                   std::to_string((retryAfter.count() + 999) / 1000));
+        // A caller that has gone is no error of ours.
+        m_request.reply(response).then([](const pplx::task<void> &done) {
+            try {
+                done.get();
+            } catch (const std::exception &) {
+                return;
+            }
+        });
+    }
+
+private:
+    http::http_request m_request;
+    std::atomic<bool> m_replied { false };
+};
+
+void Responder::reply(int status, const std::string &contentType, const std::string &body,
+                      Milliseconds retryAfter) const
+{
+    m_impl->reply(status, contentType, body, retryAfter);
+}
+
+// [SECTION] Server
+
+namespace {
+
+std::string decode(const std::string &text)
+{
+    try {
+        return web::uri::decode(text);
+    } catch (const std::exception &) {
+        return text;
+    }
+}
+
+HttpRequest readHead(const http::http_request &message)
+{
+    static const std::string bearer = "Bearer ";
+    HttpRequest request;
+    request.method = message.method();
+    const web::uri uri = message.request_uri();
+    for (const std::string &part : web::uri::split_path(uri.path()))
+        request.path.push_back(decode(part));
+    for (const auto &parameter : web::uri::split_query(uri.query()))
+        request.query[decode(parameter.first)] = decode(parameter.second);
+    const auto token = message.headers().find("Authorization");
+    if (token != message.headers().end() && token->second.compare(0, bearer.size(), bearer) == 0)
+        request.token = token->second.substr(bearer.size());
+    return request;
+}
+
+void refuse(const Responder &responder, ErrorKind kind, const std::string &message)
+{
+    Json::Value json(Json::objectValue);
+    json["outcome"] = toString(Outcome::NotRun);
+    json["error"]["kind"] = toString(kind);
+    json["error"]["message"] = message;
+    responder.reply(httpStatus(kind), "application/json", writeJson(json));
+}
+
+} // namespace
+
+class HttpServer::Impl
+{
+public:
+    Impl(const HttpServerSettings &settings, Handler handler)
+        : m_settings(settings)
+        , m_handler(std::move(handler))
+    { }
+
+    bool start(Error *reason)
+    {
+        const bool secure = !m_settings.certificateFile.empty();
+        const std::string url = (secure ? "https://" : "http://") + m_settings.host + ":"
+                + std::to_string(m_settings.port);
+        http::experimental::listener::http_listener_config config;
+        config.set_timeout(std::chrono::duration_cast<utility::seconds>(m_settings.bodySpan));
+        if (secure)
+            config.set_ssl_context_callback([this](boost::asio::ssl::context &context) {
+                context.set_options(boost::asio::ssl::context::default_workarounds
+                                    | boost::asio::ssl::context::no_tlsv1
+                                    | boost::asio::ssl::context::no_tlsv1_1);
+                context.use_certificate_chain_file(m_settings.certificateFile);
+                context.use_private_key_file(m_settings.keyFile, boost::asio::ssl::context::pem);
+            });
+        try {
+            m_listener = http::experimental::listener::http_listener(web::uri(url), config);
+            m_listener.support([this](http::http_request message) { receive(std::move(message)); });
+            m_listener.open().wait();
+            m_open = true;
+            return true;
+        } catch (const std::exception &exception) {
+            fail(reason, ErrorKind::Unavailable,
+                 "can't listen on " + url + " (" + exception.what()
+                         + "); give an IPv4 number of this host and a port that nobody uses");
+            return false;
+        }
+    }
+
+    void stop()
+    {
+        if (!m_open)
+            return;
+        m_open = false;
+        try {
+            m_listener.close().wait();
+        } catch (const std::exception &) {
+            return; // the process ends anyway
+        }
+    }
+
+private:
+    void receive(http::http_request message)
+    {
+        const Responder responder(std::make_shared<Responder::Impl>(message));
+        HttpRequest request = readHead(message);
+        const bool hasBody = request.method == "POST" || request.method == "PUT";
+        if (!hasBody)
+            return m_handler(request, responder);
+        if (!message.headers().has("Content-Length"))
+            return refuse(responder, ErrorKind::BadRequest,
+                          "send the body with a Content-Length header, not in chunks");
+        if (message.headers().content_length() > m_settings.mostBodyBytes)
+            return refuse(responder, ErrorKind::TooLarge,
+                          "a body may have at most " + std::to_string(m_settings.mostBodyBytes)
+                                  + " bytes; split the job");
+        if (m_arriving.fetch_add(1) >= m_settings.mostArriving) {
+            m_arriving.fetch_sub(1);
+            return refuse(responder, ErrorKind::Unavailable,
+                          "too many requests arrive at this entry; come back in a second");
+        }
+        readBody(std::move(message), std::move(request), responder);
+    }
+
+    void readBody(http::http_request message, HttpRequest request, const Responder &responder)
+    {
+        message.extract_vector().then(
+                [this, request = std::move(request),
+                 responder](const pplx::task<std::vector<unsigned char>> &arrived) mutable {
+                    m_arriving.fetch_sub(1);
+                    try {
+                        const std::vector<unsigned char> body = arrived.get();
+                        request.body.assign(body.begin(), body.end());
+                    } catch (const std::exception &) {
+                        return; // the caller went away before its request was whole
+                    }
+                    m_handler(request, responder);
+                });
+    }
+
+    HttpServerSettings m_settings;
+    Handler m_handler;
+    http::experimental::listener::http_listener m_listener;
+    std::atomic<std::size_t> m_arriving { 0 };
+    bool m_open = false;
+};
+
+HttpServer::HttpServer(const HttpServerSettings &settings, Handler handler)
+    : m_impl(std::make_unique<Impl>(settings, std::move(handler)))
+{ }
+
+HttpServer::~HttpServer()
+{
+    m_impl->stop();
+}
+
+bool HttpServer::start(Error *reason)
+{
+    return m_impl->start(reason);
+}
+
+void HttpServer::stop()
+{
+    m_impl->stop();
+}
+
+void setHttpThreads(unsigned int threads)
+{
+    try {
+        crossplat::threadpool::initialize_with_threads(threads);
+    } catch (const std::exception &) {
+        return; // already running with another number
+    }
+}
+
+} // namespace foxwing::edge
--- /dev/null
+++ b/packages/entry/src/joining.cpp
@@ -0,0 +1,137 @@
+/*
+    Waiters and the questions between entries.
+
+    [SECTION] Answers
+    [SECTION] Questions
+    [SECTION] Joins
+*/
+#include "joining.h"
+
+#include <algorithm>
+
+namespace foxwing::entry {
+
+// [SECTION] Answers
+
+dispatch::Answer makeAnswer(Outcome outcome, ErrorKind kind, std::string message)
+{
+    dispatch::Answer answer;
+    answer.outcome = outcome;
+    answer.error = Error { kind, std::move(message), outcome, Milliseconds { 0 } };
+    return answer;
+}
+
+void addWaiter(EntryState &entry, Pending &pending, WaiterId waiter)
+{
+    pending.waiters.push_back(waiter);
+    entry.waiterJobs[waiter] = pending.request.team + "/" + pending.request.submission;
+}
+
+void reply(EntryState &entry, WaiterId waiter, const std::string &key,
+           const dispatch::Answer &answer, EntryActions &actions)
+{
+    EntryCounters &counters = entry.counters;
+    if (answer.outcome == Outcome::Complete)
+        ++counters.repliesComplete;
+    else if (answer.outcome == Outcome::NotRun)
+        ++counters.repliesNotRun;
+    else if (answer.outcome == Outcome::Failed)
+        ++counters.repliesFailed;
+    else
+        ++counters.repliesUnknown;
+    entry.waiterJobs.erase(waiter);
+    actions.replies.push_back({ waiter, key.substr(key.find('/') + 1), answer });
+}
+
+namespace {
+
+JoinAnswer joinAnswer(const std::string &key, const dispatch::Answer &answer)
+{
+    return { key, answer.outcome, answer.results, answer.error.kind, answer.error.message };
+}
+
+} // namespace
+
+void conclude(EntryState &entry, const std::string &key, const dispatch::Answer &answer,
+              EntryActions &actions)
+{
+    const auto found = entry.pending.find(key);
+    if (found == entry.pending.end())
+        return;
+    const Pending pending = std::move(found->second);
+    entry.pending.erase(found);
+    for (const WaiterId waiter : pending.waiters)
+        reply(entry, waiter, key, answer, actions);
+    for (const std::string &joiner : pending.joinedBy)
+        actions.sends.push_back({ joiner, EntryMessage(joinAnswer(key, answer)) });
+}
+
+// [SECTION] Questions
+
+namespace {
+
+void scheduleNext(Pending &pending, Time now, Milliseconds longest)
+{
+    pending.nextSend = now + pending.sendWait;
+    pending.sendWait = std::min(pending.sendWait * 2, longest);
+}
+
+} // namespace
+
+void sendAsk(EntryState &entry, const std::string &key, Pending &pending, Time now,
+             EntryActions &actions)
+{
+    const claims::Replica home = claims::homeOf(entry.claims, key);
+    claims::Ask ask;
+    ask.from = entry.settings.self;
+    ask.job = key;
+    ask.digest = pending.request.digest;
+    ask.nonce = pending.nonce;
+    if (pending.lookOnly)
+        ask.kind = claims::AskKind::Look;
+    else if (pending.refusal.kind != ErrorKind::None)
+        ask.kind = claims::AskKind::Refuse;
+    if (!home.id.empty())
+        actions.sends.push_back({ home.id, claims::ClaimMessage(ask) });
+    scheduleNext(pending, now, entry.settings.longestAskInterval);
+}
+
+void sendJoin(EntryState &entry, const std::string &key, Pending &pending, Time now,
+              EntryActions &actions)
+{
+    const Join join { entry.settings.self.id, key, pending.cancel };
+    actions.sends.push_back({ pending.owner.id, EntryMessage(join) });
+    scheduleNext(pending, now, entry.settings.longestJoinInterval);
+}
+
+void sendRelease(EntryState &entry, const std::string &key, Pending &pending, Time now,
+                 EntryActions &actions)
+{
+    const claims::Replica home = claims::homeOf(entry.claims, key);
+    const claims::Release release { entry.settings.self, key, pending.epoch };
+    if (!home.id.empty())
+        actions.sends.push_back({ home.id, claims::ClaimMessage(release) });
+    scheduleNext(pending, now, entry.settings.longestAskInterval);
+}
+
+// [SECTION] Joins
+
+void handleJoin(EntryState &entry, const Join &join, EntryActions &actions)
+{
+    const auto found = entry.pending.find(join.job);
+    if (found != entry.pending.end()) {
+        std::vector<std::string> &joiners = found->second.joinedBy;
+        if (std::find(joiners.begin(), joiners.end(), join.from) == joiners.end())
+            joiners.push_back(join.from);
+        return;
+    }
+    const dispatch::Job *job = dispatch::findJob(entry.dispatcher, join.job);
+    const bool ended = job && job->state == dispatch::JobState::Ended;
+    const dispatch::Answer answer = ended
+            ? job->answer
+            : makeAnswer(Outcome::Unknown, ErrorKind::Expired,
+                         "the answer is no longer kept; check the effects of the work");
+    actions.sends.push_back({ join.from, EntryMessage(joinAnswer(join.job, answer)) });
+}
+
+} // namespace foxwing::entry
--- /dev/null
+++ b/packages/metrics/include/foxwing/metrics/metrics.h
@@ -0,0 +1,98 @@
+/*
+    Counters and histograms, written as text in the exposition format that monitoring systems read.
+
+    Histograms are kept for each team and class over Boost.Accumulators, which gives the quantiles;
+    the buckets are for systems that add up many processes. A bounded number of series is kept, so
+    that a team can't fill the memory with names of classes.
+
+        Metrics metrics;
+        observe(metrics, "foxwing_response_ms", { "team-a", "align" }, 12.5);
+        writeExposition(metrics, { { "foxwing_starts_total", "Tasks started", 17 } });
+
+    [SECTION] Types
+    [SECTION] Functions
+*/
+#pragma once
+
+// Boost 1.74 needs it and does not include it.
+#include <sstream>
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace foxwing::metrics {
+
+// [SECTION] Types
+
+// Upper bounds of the buckets, in the unit of what is observed; the last bucket has none.
+constexpr std::array<double, 14> BucketBounds { 1,   2,   5,    10,   20,   50,    100,
+                                                200, 500, 1000, 2000, 5000, 10000, 60000 };
+
+// Series beyond this many are counted under the class "other".
+constexpr std::size_t MostSeries = 2000;
+
+namespace accumulators = boost::accumulators;
+
+using Quantiles = accumulators::accumulator_set<
+        double,
+        accumulators::stats<accumulators::tag::count, accumulators::tag::sum,
+                            accumulators::tag::max, accumulators::tag::extended_p_square_quantile>>;
+
+struct Labels
+{
+    std::string team;
+    std::string workClass;
+
+    bool operator<(const Labels &other) const
+    {
+        return std::tie(team, workClass) < std::tie(other.team, other.workClass);
+    }
+};
+
+struct Histogram
+{
+    Histogram();
+
+    std::array<std::uint64_t, BucketBounds.size() + 1> buckets {};
+    Quantiles values;
+};
+
+// One value that is kept elsewhere and only written here.
+struct Sample
+{
+    std::string name;
+    std::string help;
+    double value = 0;
+
+    // A value that can go down.
+    bool gauge = false;
+};
+
+struct Metrics
+{
+    // By name, then by labels.
+    std::map<std::string, std::map<Labels, Histogram>> histograms;
+};
+
+// [SECTION] Functions
+
+// Adds one observation.
+void observe(Metrics &metrics, const std::string &name, const Labels &labels, double value);
+
+// The quantile of a histogram: probability 0.5, 0.95 or 0.99.
+double quantile(const Histogram &histogram, double probability);
+
+// Everything as text.
+std::string writeExposition(const Metrics &metrics, const std::vector<Sample> &samples);
+
+} // namespace foxwing::metrics
--- /dev/null
+++ b/packages/metrics/tests/metrics_test.cpp
@@ -0,0 +1,49 @@
+/*
+    Histograms count what they are given and stay bounded.
+
+    [SECTION] Tests
+*/
+#include <foxwing/metrics/metrics.h>
+
+#include <gtest/gtest.h>
+
+namespace foxwing::metrics {
+namespace {
+
+// [SECTION] Tests
+
+TEST(Metrics, QuantilesAndBucketsAgreeWithTheValues)
+{
+    Metrics metrics;
+    for (int value = 1; value <= 1000; ++value)
+        observe(metrics, "response_ms", { "a", "align" }, value);
+    const Histogram &histogram = metrics.histograms.at("response_ms").at({ "a", "align" });
+    EXPECT_NEAR(quantile(histogram, 0.5), 500, 20);
+    EXPECT_NEAR(quantile(histogram, 0.99), 990, 20);
+    const std::string text = writeExposition(metrics, { { "starts_total", "Starts", 7, false } });
+    EXPECT_NE(text.find("response_ms_bucket{team=\"a\",class=\"align\",le=\"100\"} 100\n"),
+              std::string::npos)
+            << text;
+    EXPECT_NE(text.find("response_ms_bucket{team=\"a\",class=\"align\",le=\"+Inf\"} 1000\n"),
+              std::string::npos);
+    EXPECT_NE(text.find("# TYPE starts_total counter\nstarts_total 7\n"), std::string::npos);
+}
+
+TEST(Metrics, NamesOfClassesCanNotFillTheMemory)
+{
+    Metrics metrics;
+    for (std::size_t i = 0; i < MostSeries * 2; ++i)
+        observe(metrics, "response_ms", { "a", "class " + std::to_string(i) }, 1);
+    EXPECT_LE(metrics.histograms.at("response_ms").size(), MostSeries + 1);
+    EXPECT_EQ(metrics.histograms.at("response_ms").at({ "a", "other" }).buckets[0], MostSeries);
+}
+
+TEST(Metrics, LabelsAreEscaped)
+{
+    Metrics metrics;
+    observe(metrics, "response_ms", { "a", "x\"} 1\ny" }, 1);
+    EXPECT_NE(writeExposition(metrics, {}).find("class=\"x\\\"} 1\\ny\""), std::string::npos);
+}
+
+} // namespace
+} // namespace foxwing::metrics
--- /dev/null
+++ b/packages/node/include/foxwing/node/message.h
@@ -0,0 +1,55 @@
+/*
+    Every message that one process can send to another.
+
+    [SECTION] Variant
+*/
+#pragma once
+
+#include <variant>
+
+#include <foxwing/agent/messages.h>
+#include <foxwing/claims/messages.h>
+#include <foxwing/control/messages.h>
+#include <foxwing/entry/messages.h>
+
+namespace foxwing::node {
+
+// [SECTION] Variant
+
+using Message = std::variant<
+        agent::Start, agent::Void, agent::Cancel, agent::Settle, agent::Fence, agent::LeaseTaken,
+        agent::LeaseOffer, agent::Finished, agent::NotStarted, agent::Started, agent::Alive,
+        agent::Fenced, claims::Ask, claims::AskAnswer, claims::Release, claims::Released,
+        claims::Copy, claims::Copied, claims::ShardPart, claims::ShardPartTaken, claims::ShardsHeld,
+        entry::Join, entry::JoinAnswer, control::Beat, control::Update>;
+
+// Whether a message of this type can be held by a narrower variant.
+template<class Narrow, class Held>
+constexpr bool isOneOf()
+{
+    return std::is_constructible_v<Narrow, Held>;
+}
+
+// The message as one of a narrower variant, if it is one.
+template<class Narrow>
+std::optional<Narrow> narrow(const Message &message)
+{
+    return std::visit(
+            [](const auto &held) -> std::optional<Narrow> {
+                if constexpr (isOneOf<Narrow, std::decay_t<decltype(held)>>())
+                    return Narrow(held);
+                else
+                    return std::nullopt;
+            },
+            message);
+}
+
+// A message of a narrower variant as one of all.
+template<class Narrow>
+Message widen(Narrow &&message)
+{
+    return std::visit([](auto &&held) { return Message(std::move(held)); },
+                      std::forward<Narrow>(message));
+}
+
+} // namespace foxwing::node
--- /dev/null
+++ b/packages/node/src/agentrole.h
@@ -0,0 +1,42 @@
+/*
+    The role agent of a node: the shell around agent::AgentState.
+
+    [SECTION] Role
+*/
+#pragma once
+
+#include <vector>
+
+#include <foxwing/agent/agent.h>
+#include <foxwing/control/messages.h>
+#include <foxwing/metrics/metrics.h>
+
+#include "endpoint.h"
+#include "postoffice.h"
+
+namespace foxwing::node {
+
+// [SECTION] Role
+
+class AgentRole
+{
+public:
+    AgentRole(const settings::Settings &settings, std::uint64_t incarnation, Loop &loop,
+              PostOffice &post);
+
+    void receive(const agent::ToAgent &message);
+    void takeUpdate(const control::Update &update);
+    void tick(bool configurationStale);
+    void leave();
+    bool drained() const;
+    void addSamples(std::vector<metrics::Sample> &samples) const;
+
+private:
+    void carryOut(agent::AgentActions &&actions);
+
+    agent::AgentState m_state;
+    PostOffice &m_post;
+    Endpoint m_endpoint;
+};
+
+} // namespace foxwing::node
--- /dev/null
+++ b/packages/node/src/callerapi.cpp
@@ -0,0 +1,217 @@
+/*
+    Bodies of callers' requests and replies.
+
+    [SECTION] Requests
+    [SECTION] Replies
+*/
+#include "callerapi.h"
+
+#include <algorithm>
+
+#include <foxwing/base/codec.h>
+#include <foxwing/base/digest.h>
+
+namespace foxwing::node {
+
+namespace {
+
+constexpr std::int64_t LongestDeadlineMs = 24LL * 3600 * 1000;
+constexpr std::int64_t DefaultDeadlineMs = 60000;
+constexpr std::size_t LongestClass = 64;
+
+// [SECTION] Requests
+
+// Takes known members out of a body; what is left is not known.
+class BodyReader
+{
+public:
+    BodyReader(Json::Value json, Error *reason)
+        : m_json(std::move(json))
+        , m_reason(reason)
+    { }
+
+    std::string text(const char *name, bool needed, std::size_t longest)
+    {
+        const Json::Value value = take(name, needed);
+        if (value.isNull())
+            return {};
+        if (!value.isString() || value.asString().size() > longest)
+            refuse(name, "must be a string of at most " + std::to_string(longest) + " bytes");
+        return m_ok ? value.asString() : std::string();
+    }
+
+    std::int64_t milliseconds(const char *name, std::int64_t fallback, std::int64_t least)
+    {
+        const Json::Value value = take(name, false);
+        if (value.isNull())
+            return fallback;
+        if (!value.isInt64() || value.asInt64() < least || value.asInt64() > LongestDeadlineMs)
+            refuse(name,
+                   "must be whole milliseconds from " + std::to_string(least) + " to "
+                           + std::to_string(LongestDeadlineMs));
+        return m_ok ? value.asInt64() : fallback;
+    }
+
+    bool flag(const char *name)
+    {
+        const Json::Value value = take(name, false);
+        if (!value.isNull() && !value.isBool())
+            refuse(name, "must be true or false");
+        return m_ok && value.isBool() && value.asBool();
+    }
+
+    Json::Value any(const char *name) { return take(name, true); }
+
+    void refuse(const std::string &name, const std::string &what)
+    {
+        if (!m_ok)
+            return;
+        m_ok = false;
+        fail(m_reason, ErrorKind::BadRequest, "\"" + name + "\" " + what);
+    }
+
+    bool finish()
+    {
+        if (m_ok && !m_json.empty())
+            refuse(m_json.getMemberNames().front(), "is not known; remove it or mend its name");
+        return m_ok;
+    }
+
+private:
+    Json::Value take(const char *name, bool needed)
+    {
+        Json::Value value;
+        if (m_ok && !m_json.removeMember(name, &value) && needed)
+            refuse(name, "must be there");
+        return value;
+    }
+
+    Json::Value m_json;
+    Error *m_reason;
+    bool m_ok = true;
+};
+
+// Strings go to the endpoint as they are, everything else as JSON text.
+std::string payloadText(const Json::Value &value)
+{
+    return value.isString() ? value.asString() : writeJson(value);
+}
+
+void appendPart(std::string &text, const std::string &part)
+{
+    text += std::to_string(part.size()) + ":" + part;
+}
+
+// Two submissions are the same if they ask for the same work in the same way.
+std::string digestOf(const entry::SubmitRequest &request)
+{
+    std::string text;
+    appendPart(text, request.service);
+    appendPart(text, request.workClass);
+    appendPart(text, request.repeatable ? "repeatable" : "once");
+    appendPart(text, request.request ? "request" : "job");
+    for (const std::string &payload : request.payloads)
+        appendPart(text, payload);
+    return sha256Hex(text);
+}
+
+void readPayloads(BodyReader &reader, entry::SubmitRequest &request)
+{
+    if (request.request) {
+        request.payloads.push_back(payloadText(reader.any("payload")));
+        return;
+    }
+    const Json::Value tasks = reader.any("tasks");
+    if (!tasks.isArray() || tasks.empty())
+        return reader.refuse("tasks", "must be a list of at least one payload");
+    for (const Json::Value &task : tasks)
+        request.payloads.push_back(payloadText(task));
+}
+
+} // namespace
+
+std::optional<entry::SubmitRequest> readSubmission(const std::string &body, bool isRequest,
+                                                   Error *reason)
+{
+    std::optional<Json::Value> json = parseJson(body, reason);
+    if (!json)
+        return std::nullopt;
+    if (!json->isObject())
+        return fail(reason, ErrorKind::BadRequest, "the body must be a JSON object");
+    BodyReader reader(std::move(*json), reason);
+    entry::SubmitRequest request;
+    request.request = isRequest;
+    request.submission = reader.text("submission", !isRequest, LongestClass);
+    request.service = reader.text("service", true, LongestClass);
+    request.workClass = reader.text("class", false, LongestClass);
+    request.repeatable = reader.flag("repeatable");
+    request.timeLeft = Milliseconds(reader.milliseconds("deadlineMs", DefaultDeadlineMs, 1));
+    request.declaredTime = Milliseconds(reader.milliseconds("declaredMs", 0, 0));
+    readPayloads(reader, request);
+    if (!reader.finish())
+        return std::nullopt;
+    request.digest = digestOf(request);
+    return request;
+}
+
+std::optional<Milliseconds> readWait(const std::string &text, Milliseconds fallback, Error *reason)
+{
+    if (text.empty())
+        return fallback;
+    const bool digits = text.find_first_not_of("0123456789") == std::string::npos;
+    if (!digits || text.size() > 8)
+        return fail(reason, ErrorKind::BadRequest,
+                    "\"wait\" must be whole milliseconds, at most 99999999");
+    return Milliseconds(std::stoll(text));
+}
+
+// [SECTION] Replies
+
+int answerStatus(const dispatch::Answer &answer)
+{
+    if (answer.outcome == Outcome::Complete)
+        return 200;
+    if (answer.outcome == Outcome::Pending)
+        return 202;
+    return httpStatus(answer.error.kind);
+}
+
+namespace {
+
+Json::Value errorJson(const Error &error)
+{
+    Json::Value json(Json::objectValue);
+    json["kind"] = toString(error.kind);
+    json["message"] = error.message;
+    if (error.retryAfter.count() > 0)
+        json["retryAfterMs"] = static_cast<Json::Int64>(error.retryAfter.count());
+    return json;
+}
+
+} // namespace
+
+std::string answerBody(const std::string &submission, const dispatch::Answer &answer)
+{
+    Json::Value json(Json::objectValue);
+    if (submission.compare(0, 1, "~") != 0)
+        json["submission"] = submission;
+    json["outcome"] = toString(answer.outcome);
+    if (answer.outcome == Outcome::Complete) {
+        Json::Value &results = json["results"] = Json::Value(Json::arrayValue);
+        for (const std::string &result : answer.results)
+            results.append(result);
+    } else if (answer.outcome != Outcome::Pending) {
+        json["error"] = errorJson(answer.error);
+    }
+    return writeJson(json);
+}
+
+std::string errorBody(const Error &error)
+{
+    Json::Value json(Json::objectValue);
+    json["outcome"] = toString(error.outcome);
+    json["error"] = errorJson(error);
+    return writeJson(json);
+}
+
+} // namespace foxwing::node
--- /dev/null
+++ b/packages/node/src/endpoint.cpp
@@ -0,0 +1,107 @@
+/*
+    Calls to the endpoint.
+
+    [SECTION] Calls
+    [SECTION] Ends
+*/
+#include "endpoint.h"
+
+namespace foxwing::node {
+
+namespace {
+
+// Longest call; deadlines of tasks are kept by the agent, which stops the task in time.
+constexpr Milliseconds LongestCall { 24 * 3600 * 1000 };
+
+std::string pathOf(const agent::TaskRef &ref)
+{
+    return "/tasks/" + ref.job + "/" + std::to_string(ref.task) + "/" + std::to_string(ref.attempt);
+}
+
+edge::HttpClientSettings clientSettings()
+{
+    edge::HttpClientSettings settings;
+    settings.timeout = LongestCall;
+    return settings;
+}
+
+} // namespace
+
+// [SECTION] Calls
+
+Endpoint::Endpoint(const settings::EndpointSettings &settings, Loop &loop, Done onDone)
+    : m_settings(settings)
+    , m_loop(loop)
+    , m_onDone(std::move(onDone))
+    , m_client(settings.url, clientSettings())
+{ }
+
+void Endpoint::call(const agent::EndpointCall &call)
+{
+    const std::string path = pathOf(call.ref);
+    m_open[path].ref = call.ref;
+    const auto left = std::chrono::duration_cast<Milliseconds>(call.timeLeft);
+    m_client.call("POST", path, call.payload,
+                  { { "X-Foxwing-Team", call.team },
+                    { "X-Foxwing-Time-Left-Ms", std::to_string(left.count()) } },
+                  [this, path](edge::HttpReply &&reply) {
+                      m_loop.post([this, path, reply = std::move(reply)] { finish(path, reply); });
+                  });
+}
+
+void Endpoint::stop(const agent::EndpointStop &stop, Time now)
+{
+    const std::string path = pathOf(stop.ref);
+    const auto found = m_open.find(path);
+    if (found == m_open.end() || found->second.stopped)
+        return;
+    found->second.stopped = true;
+    found->second.cutAt = now + m_settings.stopGrace;
+    ++m_stopping;
+    m_client.call("DELETE", path, {}, {}, [](edge::HttpReply &&) {});
+}
+
+void Endpoint::tick(Time now)
+{
+    if (m_stopping == 0)
+        return;
+    std::vector<std::string> overdue;
+    for (const auto &open : m_open) {
+        if (open.second.stopped && now >= open.second.cutAt)
+            overdue.push_back(open.first);
+    }
+    for (const std::string &path : overdue)
+        end(path, agent::TaskEnd::Cancelled, "the endpoint did not stop it in time");
+}
+
+// [SECTION] Ends
+
+void Endpoint::end(const std::string &path, agent::TaskEnd end, std::string body)
+{
+    const auto found = m_open.find(path);
+    if (found == m_open.end())
+        return; // cut before
+    const OpenCall open = found->second;
+    m_open.erase(found);
+    if (open.stopped)
+        --m_stopping;
+    m_onDone(open.ref, end, std::move(body));
+}
+
+void Endpoint::finish(const std::string &path, const edge::HttpReply &reply)
+{
+    const auto found = m_open.find(path);
+    if (found == m_open.end())
+        return;
+    if (reply.status >= 200 && reply.status < 300)
+        return end(path, agent::TaskEnd::Succeeded, reply.body);
+    if (found->second.stopped)
+        return end(path, agent::TaskEnd::Cancelled, reply.body);
+    if (reply.neverSent)
+        return end(path, agent::TaskEnd::Unreachable, reply.reason);
+    if (reply.status == 0)
+        return end(path, agent::TaskEnd::Failed, "no answer from the endpoint: " + reply.reason);
+    end(path, agent::TaskEnd::Failed, "status " + std::to_string(reply.status) + " " + reply.body);
+}
+
+} // namespace foxwing::node
--- /dev/null
+++ b/packages/node/src/endpoint.h
@@ -0,0 +1,59 @@
+/*
+    Inside a node with the role agent: calls to the endpoint over HTTP.
+
+    A task is POSTed to /tasks/TEAM/SUBMISSION/TASK/ATTEMPT with its payload as the body; any status
+    of 200 to 299 means success, and the body is the result. DELETE on the same path asks the
+   endpoint to stop it.
+
+    [SECTION] Endpoint
+*/
+#pragma once
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include <foxwing/agent/agent.h>
+#include <foxwing/edge/httpclient.h>
+#include <foxwing/node/loop.h>
+#include <foxwing/settings/settings.h>
+
+namespace foxwing::node {
+
+// [SECTION] Endpoint
+
+class Endpoint
+{
+public:
+    // Called on the loop's thread, exactly once for each call().
+    using Done = std::function<void(const agent::TaskRef &, agent::TaskEnd, std::string)>;
+
+    Endpoint(const settings::EndpointSettings &settings, Loop &loop, Done onDone);
+
+    // All on the loop's thread.
+    void call(const agent::EndpointCall &call);
+    void stop(const agent::EndpointStop &stop, Time now);
+
+    // Cuts calls that were told to stop and did not end in time.
+    void tick(Time now);
+
+private:
+    struct OpenCall
+    {
+        agent::TaskRef ref;
+        bool stopped = false;
+        Time cutAt {};
+    };
+
+    void finish(const std::string &path, const edge::HttpReply &reply);
+    void end(const std::string &path, agent::TaskEnd end, std::string body);
+
+    settings::EndpointSettings m_settings;
+    Loop &m_loop;
+    Done m_onDone;
+    edge::HttpClient m_client;
+    std::unordered_map<std::string, OpenCall> m_open;
+    std::size_t m_stopping = 0;
+};
+
+} // namespace foxwing::node
--- /dev/null
+++ b/packages/node/src/entryrole.cpp
@@ -0,0 +1,327 @@
+/*
+    The shell around the entry's decisions.
+
+    [SECTION] Actions
+    [SECTION] Callers
+    [SECTION] Messages
+    [SECTION] Configuration
+    [SECTION] Measures
+*/
+#include "entryrole.h"
+
+#include <algorithm>
+
+#include <foxwing/control/validation.h>
+#include <foxwing/node/log.h>
+
+#include "callerapi.h"
+
+namespace foxwing::node {
+
+namespace {
+
+constexpr Milliseconds LongestWait { 24 * 3600 * 1000 };
+constexpr Milliseconds DefaultFetchWait { 0 };
+
+entry::EntrySettings withIncarnation(entry::EntrySettings settings, std::uint64_t incarnation)
+{
+    settings.self.incarnation = incarnation;
+    settings.dispatch.incarnation = incarnation;
+    settings.claims.self = settings.self;
+    return settings;
+}
+
+void replyError(const edge::Responder &responder, const Error &error)
+{
+    responder.reply(httpStatus(error.kind), "application/json", errorBody(error), error.retryAfter);
+}
+
+} // namespace
+
+EntryRole::EntryRole(const settings::Settings &settings, std::uint64_t incarnation,
+                     PostOffice &post)
+    : m_state(entry::makeEntry(withIncarnation(settings.entry, incarnation)))
+    , m_post(post)
+{ }
+
+// [SECTION] Actions
+
+void EntryRole::carryOut(entry::EntryActions &&actions)
+{
+    for (entry::Outgoing &send : actions.sends) {
+        Message message = std::visit([](auto &&held) { return widen(std::move(held)); },
+                                     std::move(send.message));
+        m_post.send(send.to, std::move(message));
+    }
+    for (const entry::Reply &reply : actions.replies)
+        replyTo(reply);
+}
+
+void EntryRole::replyTo(const entry::Reply &reply)
+{
+    const auto found = m_callers.find(reply.waiter);
+    if (found == m_callers.end())
+        return;
+    const Caller caller = std::move(found->second);
+    m_callers.erase(found);
+    metrics::observe(m_metrics, "foxwing_response_ms", caller.labels,
+                     toMilliseconds(steadyNow() - caller.since));
+    caller.responder.reply(answerStatus(reply.answer), "application/json",
+                           answerBody(reply.submission, reply.answer),
+                           reply.answer.error.retryAfter);
+}
+
+// [SECTION] Callers
+
+entry::WaiterId EntryRole::addCaller(const edge::Responder &responder,
+                                     const std::string &submission, Milliseconds wait,
+                                     const metrics::Labels &labels)
+{
+    const entry::WaiterId waiter = m_nextWaiter++;
+    const Time now = steadyNow();
+    m_callers.emplace(waiter, Caller { responder, now, now + wait, submission, labels });
+    return waiter;
+}
+
+void EntryRole::serveSubmission(const edge::HttpRequest &request, const edge::Responder &responder,
+                                const std::string &team, bool isRequest)
+{
+    Error reason;
+    const auto wait = request.query.find("wait");
+    const std::string waitText = wait == request.query.end() ? std::string() : wait->second;
+    const auto waitSpan = readWait(waitText, LongestWait, &reason);
+    auto submission = waitSpan ? readSubmission(request.body, isRequest, &reason) : std::nullopt;
+    if (!submission)
+        return replyError(responder, reason);
+    submission->team = team;
+    submission->waiter = addCaller(responder, submission->submission, *waitSpan,
+                                   { team, submission->workClass });
+    carryOut(entry::submit(m_state, *submission, steadyNow(), wallClockNow()));
+}
+
+void EntryRole::serveLookUp(const edge::HttpRequest &request, const edge::Responder &responder,
+                            const std::string &team)
+{
+    Error reason;
+    const auto wait = request.query.find("wait");
+    const std::string waitText = wait == request.query.end() ? std::string() : wait->second;
+    const auto waitSpan = readWait(waitText, DefaultFetchWait, &reason);
+    if (!waitSpan)
+        return replyError(responder, reason);
+    // A look at a submission that another entry runs takes a round trip even if the caller waits
+    // for nothing else.
+    const Milliseconds span = std::max(*waitSpan, Milliseconds { 500 });
+    const Time now = steadyNow();
+    const std::string &id = request.path[2];
+    const entry::WaiterId waiter = addCaller(responder, id, span, { team, "look-up" });
+    if (request.method == "DELETE")
+        carryOut(entry::cancel(m_state, waiter, team, id, now + span, now, wallClockNow()));
+    else
+        carryOut(entry::fetch(m_state, waiter, team, id, now + span, now, wallClockNow()));
+}
+
+bool EntryRole::serve(const edge::HttpRequest &request, const edge::Responder &responder)
+{
+    const std::vector<std::string> &path = request.path;
+    const bool ours = path.size() >= 2 && path[0] == "v1"
+            && (path[1] == "jobs" || path[1] == "requests");
+    if (!ours)
+        return false;
+    Error reason;
+    const auto team = entry::authenticate(m_state.directory, request.token, &reason);
+    const bool posts = request.method == "POST" && path.size() == 2;
+    const bool looksUp = (request.method == "GET" || request.method == "DELETE")
+            && path.size() == 3;
+    if (!team) {
+        replyError(responder, reason);
+    } else if (m_callers.size() >= m_state.settings.mostWaiters) {
+        replyError(responder,
+                   Error { ErrorKind::Unavailable,
+                           "too many callers wait at this entry; ask another one",
+                           path.size() == 2 ? Outcome::NotRun : Outcome::Unknown,
+                           Milliseconds { 500 } });
+    } else if (posts) {
+        serveSubmission(request, responder, *team, path[1] == "requests");
+    } else if (looksUp) {
+        serveLookUp(request, responder, *team);
+    } else {
+        replyError(responder,
+                   Error { ErrorKind::BadRequest,
+                           "use POST /v1/jobs, POST /v1/requests, GET or DELETE "
+                           "/v1/jobs/SUBMISSION",
+                           Outcome::NotRun, Milliseconds { 0 } });
+    }
+    return true;
+}
+
+// [SECTION] Messages
+
+void EntryRole::receive(const agent::FromAgent &message)
+{
+    carryOut(entry::handleAgent(m_state, message, steadyNow(), wallClockNow()));
+}
+
+void EntryRole::receive(const claims::ClaimMessage &message)
+{
+    carryOut(entry::handleClaim(m_state, message, steadyNow(), wallClockNow()));
+}
+
+void EntryRole::receive(const entry::EntryMessage &message)
+{
+    carryOut(entry::handleEntry(m_state, message, steadyNow(), wallClockNow()));
+}
+
+void EntryRole::sendFailed(const agent::ToAgent &message)
+{
+    carryOut(entry::sendFailed(m_state, message, steadyNow(), wallClockNow()));
+}
+
+void EntryRole::tick()
+{
+    const Time now = steadyNow();
+    carryOut(entry::tick(m_state, now, wallClockNow()));
+    std::vector<entry::WaiterId> over;
+    for (const auto &caller : m_callers) {
+        if (now >= caller.second.waitUntil)
+            over.push_back(caller.first);
+    }
+    dispatch::Answer pending;
+    for (const entry::WaiterId waiter : over) {
+        entry::abandon(m_state, waiter);
+        replyTo({ waiter, m_callers.at(waiter).submission, pending });
+    }
+}
+
+// [SECTION] Configuration
+
+void EntryRole::applyResource(const control::Resource &resource)
+{
+    Error ignored;
+    entry::Directory &directory = m_state.directory;
+    if (resource.kind == "team") {
+        const auto spec = control::readTeamSpec(resource.spec, &ignored);
+        directory.teams.erase(resource.name);
+        if (!resource.deleted && spec) {
+            directory.teams[resource.name] = { resource.name, spec->salt, spec->tokenHash,
+                                               spec->weight, spec->concurrency };
+            m_state.dispatcher.teamWeights[resource.name] = spec->weight;
+        }
+    } else if (resource.kind == "service") {
+        const auto spec = control::readServiceSpec(resource.spec, &ignored);
+        directory.services.erase(resource.name);
+        if (!resource.deleted && spec)
+            directory.services[resource.name] = {
+                resource.name, spec->mostTasks, spec->mostPayloadBytes,
+                Milliseconds(static_cast<std::int64_t>(spec->longestTimeMs))
+            };
+    }
+}
+
+void EntryRole::takeUpdate(const control::Update &update, Time beatSentAt)
+{
+    claims::hearMaster(m_state.claims, beatSentAt);
+    if (update.reset)
+        m_state.directory = {};
+    for (const control::Resource &change : update.changes)
+        applyResource(change);
+    if (update.hasAgents) {
+        m_agentsVersion = update.agentsVersion;
+        m_state.agents.clear();
+        for (const control::AgentHint &hint : update.agents) {
+            m_state.agents.push_back({ hint.id, hint.service, hint.lostAt, hint.live });
+            m_post.learnAddress(hint.id, hint.address);
+        }
+    }
+    if (update.view.number == 0)
+        return;
+    for (const claims::Member &member : update.view.members)
+        m_post.learnAddress(member.replica.id, member.address);
+    const std::uint64_t before = m_state.claims.view.number;
+    carryOut(entry::setView(m_state, update.view, steadyNow(), wallClockNow()));
+    if (m_state.claims.view.number != before)
+        logChange(LogLevel::Info, "view",
+                  { { "number", std::to_string(update.view.number) },
+                    { "entries", std::to_string(update.view.members.size()) } });
+}
+
+void EntryRole::fillBeat(control::Beat &beat) const
+{
+    beat.isEntry = true;
+    beat.view = m_state.claims.view.number;
+    beat.viewUpdate = m_state.claims.view.update;
+    beat.agentsVersion = m_agentsVersion;
+    beat.readyShards = claims::readyShards(m_state.claims);
+}
+
+bool EntryRole::ready() const
+{
+    return entry::ready(m_state, steadyNow());
+}
+
+bool EntryRole::drained() const
+{
+    return m_callers.empty() && entry::drained(m_state);
+}
+
+bool EntryRole::handedOver() const
+{
+    const claims::View &view = m_state.claims.view;
+    return view.members.empty()
+            || std::none_of(view.bases.begin(), view.bases.end(), [&](const auto &base) {
+                   return std::find(base.replicas.begin(), base.replicas.end(),
+                                    m_state.settings.self)
+                           != base.replicas.end();
+               });
+}
+
+// [SECTION] Measures
+
+void EntryRole::addSamples(std::vector<metrics::Sample> &samples) const
+{
+    const auto count = [&](const char *name, const char *help, std::uint64_t value) {
+        samples.push_back({ name, help, static_cast<double>(value), false });
+    };
+    const auto gauge = [&](const char *name, const char *help, std::size_t value) {
+        samples.push_back({ name, help, static_cast<double>(value), true });
+    };
+    const entry::EntryCounters &entryCounters = m_state.counters;
+    const dispatch::DispatchCounters &jobs = m_state.dispatcher.counters;
+    const claims::ClaimCounters &claimCounters = m_state.claims.counters;
+    count("foxwing_submissions_total", "Submissions received", entryCounters.submissions);
+    count("foxwing_refusals_total", "Submissions refused", entryCounters.refusals);
+    count("foxwing_joins_total", "Submissions joined to another entry", entryCounters.joins);
+    count("foxwing_replies_complete_total", "Replies: complete", entryCounters.repliesComplete);
+    count("foxwing_replies_failed_total", "Replies: failed", entryCounters.repliesFailed);
+    count("foxwing_replies_not_run_total", "Replies: not run", entryCounters.repliesNotRun);
+    count("foxwing_replies_unknown_total", "Replies: unknown", entryCounters.repliesUnknown);
+    count("foxwing_jobs_total", "Jobs owned", jobs.jobs);
+    count("foxwing_starts_total", "Starts sent to agents", jobs.starts);
+    count("foxwing_results_total", "Results taken", jobs.results);
+    count("foxwing_results_foreign_total", "Results that nobody waited for", jobs.foreignResults);
+    count("foxwing_agent_refused_total", "Starts that agents refused", jobs.refusals);
+    count("foxwing_verifications_total", "Silent tasks asked for", jobs.verifications);
+    count("foxwing_retries_total", "Repeatable requests sent again", jobs.retries);
+    count("foxwing_workers_lost_total", "Workers lost", jobs.workersLost);
+    count("foxwing_workers_ejected_total", "Workers ejected for failing", jobs.ejections);
+    count("foxwing_takeovers_total", "Jobs taken over from lost entries", jobs.takeovers);
+    count("foxwing_claims_granted_total", "Claims granted here", claimCounters.granted);
+    count("foxwing_claims_joined_total", "Claims that somebody had", claimCounters.joined);
+    count("foxwing_claims_retried_total", "Claims asked while out of service",
+          claimCounters.retries);
+    gauge("foxwing_claims_held", "Claims in memory", claims::recordCount(m_state.claims));
+    gauge("foxwing_callers", "Callers that wait", m_callers.size());
+    gauge("foxwing_jobs_active", "Jobs that have not ended",
+          dispatch::activeJobs(m_state.dispatcher));
+    gauge("foxwing_answer_bytes", "Answers kept", m_state.dispatcher.answerBytes);
+    for (const auto &service : m_state.dispatcher.services) {
+        const std::string label = "{service=\"" + service.first + "\"}";
+        samples.push_back({ "foxwing_slots" + label, "Slots under lease",
+                            static_cast<double>(service.second.pool.slots), true });
+        samples.push_back({ "foxwing_queue_tasks" + label, "Tasks that wait",
+                            static_cast<double>(service.second.waitingTasks), true });
+        samples.push_back({ "foxwing_workers_out" + label, "Workers ejected or on trial",
+                            static_cast<double>(service.second.pool.health.ejected), true });
+    }
+}
+
+} // namespace foxwing::node
--- /dev/null
+++ b/packages/node/src/node.cpp
@@ -0,0 +1,417 @@
+/*
+    One process: roles, sockets, the loop.
+
+    [SECTION] Construction
+    [SECTION] Messages
+    [SECTION] Beats
+    [SECTION] HTTP
+    [SECTION] Stopping
+    [SECTION] Node
+*/
+#include <foxwing/node/node.h>
+
+#include <atomic>
+#include <deque>
+#include <set>
+
+#include <foxwing/edge/httpserver.h>
+#include <foxwing/node/log.h>
+#include <foxwing/node/loop.h>
+#include <foxwing/wire/rpcserver.h>
+
+#include "agentrole.h"
+#include "callerapi.h"
+#include "controlrole.h"
+#include "entryrole.h"
+#include "postoffice.h"
+
+namespace foxwing::node {
+
+namespace {
+
+constexpr Milliseconds TickInterval { 10 };
+// While claims are being moved, control is asked more often.
+constexpr Milliseconds HurriedBeatInterval { 50 };
+
+constexpr unsigned int EntryHttpThreads = 8;
+constexpr unsigned int QuietHttpThreads = 4;
+
+std::string innerAddress(const settings::Settings &settings)
+{
+    return settings.listen.inner.host + ":" + std::to_string(settings.listen.inner.port);
+}
+
+wire::LaneSettings laneSettings(const settings::Settings &settings)
+{
+    wire::LaneSettings lanes;
+    lanes.from = settings.node.id;
+    lanes.address = innerAddress(settings);
+    lanes.secret = settings.cluster.secret;
+    lanes.threads = settings.node.entry || settings.node.control ? 8 : 3;
+    return lanes;
+}
+
+wire::RpcServerSettings rpcSettings(const settings::Settings &settings)
+{
+    wire::RpcServerSettings rpc;
+    rpc.host = settings.listen.inner.host;
+    rpc.port = settings.listen.inner.port;
+    rpc.secret = settings.cluster.secret;
+    rpc.threads = settings.node.entry || settings.node.control ? 4 : 1;
+    return rpc;
+}
+
+edge::HttpServerSettings httpSettings(const settings::Settings &settings)
+{
+    edge::HttpServerSettings http;
+    http.host = settings.listen.outer.host;
+    http.port = settings.listen.outer.port;
+    http.certificateFile = settings.listen.certificateFile;
+    http.keyFile = settings.listen.keyFile;
+    http.mostBodyBytes = settings.listen.mostBodyBytes;
+    return http;
+}
+
+} // namespace
+
+class Node::Impl
+{
+public:
+    explicit Impl(const settings::Settings &settings);
+
+    bool start(Error *reason);
+    void run();
+    void requestStop();
+
+private:
+    enum class Stopping {
+        No,
+        // The balancer is being told; requests are still taken.
+        Noticing,
+        // Nothing new; what is in flight is finished.
+        Draining,
+        // Claims go to other entries.
+        HandingOver,
+    };
+
+    void receive(Message &&message);
+    void takeFailure(Message &&message);
+    void takeUpdate(const control::Update &update);
+    void sendBeat(Time now);
+    void tick();
+    void tickStopping(Time now);
+    bool configurationStale(Time now) const;
+    void serve(const edge::HttpRequest &request, const edge::Responder &responder);
+    bool servePlain(const edge::HttpRequest &request, const edge::Responder &responder) const;
+    std::string metricsText() const;
+
+    settings::Settings m_settings;
+    std::uint64_t m_incarnation;
+    Loop m_loop;
+    PostOffice m_post;
+    std::unique_ptr<AgentRole> m_agent;
+    std::unique_ptr<EntryRole> m_entry;
+    std::unique_ptr<ControlRole> m_control;
+    wire::RpcServer m_rpc;
+    edge::HttpServer m_http;
+
+    // Beats that are under way, to know when control's answer was asked for.
+    struct SentBeat
+    {
+        std::uint64_t number = 0;
+        Time at {};
+    };
+    std::deque<SentBeat> m_sentBeats;
+    std::uint64_t m_beatNumber = 0;
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_view = 0;
+    std::uint64_t m_viewUpdate = 0;
+    Time m_nextBeat {};
+    Time m_confirmedAt {};
+    bool m_confirmed = false;
+
+    Stopping m_stopping = Stopping::No;
+    Time m_stoppingSince {};
+};
+
+// [SECTION] Construction
+
+Node::Impl::Impl(const settings::Settings &settings)
+    : m_settings(settings)
+    , m_incarnation(static_cast<std::uint64_t>(wallClockNow().time_since_epoch().count()))
+    , m_loop([this] { tick(); }, TickInterval)
+    , m_post(
+              laneSettings(settings), m_loop,
+              [this](Message &&message) { receive(std::move(message)); },
+              [this](Message &&message) { takeFailure(std::move(message)); })
+    , m_rpc(rpcSettings(settings),
+            [this](wire::Envelope &&envelope) { m_post.receive(std::move(envelope)); })
+    , m_http(httpSettings(settings),
+             [this](const edge::HttpRequest &request, const edge::Responder &responder) {
+                 m_loop.post([this, request, responder] { serve(request, responder); });
+             })
+{ }
+
+bool Node::Impl::start(Error *reason)
+{
+    for (const settings::Peer &peer : m_settings.cluster.control)
+        m_post.learnAddress(peer.id, peer.address);
+    if (m_settings.node.control) {
+        m_control = std::make_unique<ControlRole>(m_settings, m_loop, m_post);
+        if (!m_control->start(reason))
+            return false;
+    }
+    if (m_settings.node.entry)
+        m_entry = std::make_unique<EntryRole>(m_settings, m_incarnation, m_post);
+    if (m_settings.node.agent)
+        m_agent = std::make_unique<AgentRole>(m_settings, m_incarnation, m_loop, m_post);
+    if (!m_rpc.start(reason) || !m_http.start(reason))
+        return false;
+    logChange(LogLevel::Info, "started",
+              { { "inner", innerAddress(m_settings) },
+                { "incarnation", std::to_string(m_incarnation) } });
+    return true;
+}
+
+// [SECTION] Messages
+
+void Node::Impl::receive(Message &&message)
+{
+    if (m_agent) {
+        if (const auto held = narrow<agent::ToAgent>(message))
+            return m_agent->receive(*held);
+    }
+    if (m_entry) {
+        if (const auto held = narrow<agent::FromAgent>(message))
+            return m_entry->receive(*held);
+        if (const auto held = narrow<claims::ClaimMessage>(message))
+            return m_entry->receive(*held);
+        if (const auto held = narrow<entry::EntryMessage>(message))
+            return m_entry->receive(*held);
+    }
+    if (const auto *beat = std::get_if<control::Beat>(&message)) {
+        if (m_control)
+            m_control->receive(*beat);
+    } else if (const auto *update = std::get_if<control::Update>(&message)) {
+        takeUpdate(*update);
+    }
+}
+
+void Node::Impl::takeFailure(Message &&message)
+{
+    if (!m_entry)
+        return;
+    if (const auto held = narrow<agent::ToAgent>(message))
+        m_entry->sendFailed(*held);
+}
+
+// [SECTION] Beats
+
+void Node::Impl::takeUpdate(const control::Update &update)
+{
+    if (update.incarnation != m_incarnation)
+        return;
+    while (!m_sentBeats.empty() && m_sentBeats.front().number < update.number)
+        m_sentBeats.pop_front();
+    // An update that was asked for by an earlier beat than the last answered one is late.
+    if (m_sentBeats.empty() || m_sentBeats.front().number != update.number)
+        return;
+    const Time sentAt = m_sentBeats.front().at;
+    m_sentBeats.pop_front();
+    if (update.revision < m_revision && !update.reset)
+        return; // control that knows less than this node can't be the one that accepted it
+    m_confirmed = true;
+    m_confirmedAt = sentAt;
+    if (m_entry)
+        m_entry->takeUpdate(update, sentAt);
+    if (m_agent)
+        m_agent->takeUpdate(update);
+    m_revision = update.revision;
+    if (update.view.number == 0)
+        return;
+    m_view = update.view.number;
+    m_viewUpdate = update.view.update;
+}
+
+void Node::Impl::sendBeat(Time now)
+{
+    m_nextBeat = now + m_settings.cluster.beatInterval;
+    control::Beat beat;
+    beat.id = m_settings.node.id;
+    beat.incarnation = m_incarnation;
+    beat.address = innerAddress(m_settings);
+    beat.dataCentre = m_settings.node.dataCentre;
+    beat.number = ++m_beatNumber;
+    beat.revision = m_revision;
+    beat.view = m_view;
+    beat.viewUpdate = m_viewUpdate;
+    beat.isAgent = m_agent != nullptr;
+    beat.service = m_agent ? m_settings.agent.service : std::string();
+    beat.slots = m_agent ? m_settings.agent.slots : 0;
+    beat.leaving = m_stopping == Stopping::HandingOver;
+    if (m_entry)
+        m_entry->fillBeat(beat);
+    if (m_entry && !beat.leaving && !m_entry->allClaimsInService())
+        m_nextBeat = now + HurriedBeatInterval;
+    m_sentBeats.push_back({ beat.number, now });
+    for (const settings::Peer &peer : m_settings.cluster.control)
+        m_post.send(peer.id, beat);
+}
+
+bool Node::Impl::configurationStale(Time now) const
+{
+    return !m_confirmed || now >= m_confirmedAt + m_settings.entry.configurationLease;
+}
+
+void Node::Impl::tick()
+{
+    const Time now = steadyNow();
+    if (m_control)
+        m_control->tick();
+    if (m_entry)
+        m_entry->tick();
+    if (m_agent)
+        m_agent->tick(configurationStale(now));
+    if (now >= m_nextBeat)
+        sendBeat(now);
+    if (m_stopping != Stopping::No)
+        tickStopping(now);
+}
+
+// [SECTION] HTTP
+
+std::string Node::Impl::metricsText() const
+{
+    std::vector<metrics::Sample> samples;
+    if (m_control)
+        m_control->addSamples(samples);
+    if (m_entry)
+        m_entry->addSamples(samples);
+    if (m_agent)
+        m_agent->addSamples(samples);
+    const PostCounters &post = m_post.counters();
+    const wire::LaneCounters lanes = m_post.laneCounters();
+    const auto count = [&](const char *name, const char *help, std::uint64_t value) {
+        samples.push_back({ name, help, static_cast<double>(value), false });
+    };
+    count("foxwing_messages_sent_total", "Messages to other processes", post.sent);
+    count("foxwing_messages_local_total", "Messages to this process", post.local);
+    count("foxwing_messages_received_total", "Messages from other processes", post.received);
+    count("foxwing_messages_unreadable_total", "Messages that could not be read", post.unreadable);
+    count("foxwing_messages_no_address_total", "Messages to unknown nodes", post.noAddress);
+    count("foxwing_calls_total", "Calls to other processes", lanes.calls);
+    count("foxwing_calls_failed_total", "Calls that failed", lanes.failedCalls);
+    static const metrics::Metrics none;
+    return metrics::writeExposition(m_entry ? m_entry->histograms() : none, samples);
+}
+
+bool Node::Impl::servePlain(const edge::HttpRequest &request,
+                            const edge::Responder &responder) const
+{
+    const std::string path = request.path.size() == 1 ? request.path[0] : std::string();
+    if (path == "metrics") {
+        responder.reply(200, "text/plain; version=0.0.4", metricsText());
+        return true;
+    }
+    if (path == "healthz") {
+        responder.reply(200, "text/plain", "ok\n");
+        return true;
+    }
+    if (path == "readyz") {
+        const bool ready = m_stopping == Stopping::No && (!m_entry || m_entry->ready())
+                && !configurationStale(steadyNow());
+        responder.reply(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+        return true;
+    }
+    return false;
+}
+
+void Node::Impl::serve(const edge::HttpRequest &request, const edge::Responder &responder)
+{
+    const bool served = servePlain(request, responder)
+            || (m_entry && m_entry->serve(request, responder))
+            || (m_control && m_control->serve(request, responder));
+    if (served)
+        return;
+    const Error error { ErrorKind::NotFound,
+                        "this node does not serve that path; see docs/API.md, and ask a node with "
+                        "the role that does",
+                        Outcome::NotRun, Milliseconds { 0 } };
+    responder.reply(httpStatus(error.kind), "application/json", errorBody(error));
+}
+
+// [SECTION] Stopping
+
+void Node::Impl::requestStop()
+{
+    m_loop.post([this] {
+        if (m_stopping != Stopping::No)
+            return;
+        m_stopping = m_entry ? Stopping::Noticing : Stopping::Draining;
+        m_stoppingSince = steadyNow();
+        logChange(LogLevel::Info, "stopping", {});
+        if (m_agent)
+            m_agent->leave();
+    });
+}
+
+void Node::Impl::tickStopping(Time now)
+{
+    if (now >= m_stoppingSince + m_settings.drainSpan) {
+        logChange(LogLevel::Warning, "stopped", { { "drained", "false" } });
+        return m_loop.stop();
+    }
+    if (m_stopping == Stopping::Noticing && now >= m_stoppingSince + m_settings.drainNotice) {
+        m_stopping = Stopping::Draining;
+        m_entry->beginLeaving();
+    }
+    const bool drained = m_stopping == Stopping::Draining && (!m_entry || m_entry->drained())
+            && (!m_agent || m_agent->drained());
+    if (drained) {
+        m_stopping = Stopping::HandingOver;
+        sendBeat(now);
+        return;
+    }
+    // A process with control can't hand over to itself; the others wait until control has said so.
+    const bool over = m_stopping == Stopping::HandingOver
+            && (!m_entry || m_control || m_entry->handedOver());
+    if (!over)
+        return;
+    m_post.flush(Milliseconds { 500 });
+    logChange(LogLevel::Info, "stopped", { { "drained", "true" } });
+    m_loop.stop();
+}
+
+// [SECTION] Node
+
+void Node::Impl::run()
+{
+    m_loop.run();
+    m_http.stop();
+    m_rpc.stop();
+}
+
+Node::Node(const settings::Settings &settings)
+{
+    edge::setHttpThreads(settings.node.entry ? EntryHttpThreads : QuietHttpThreads);
+    m_impl = std::make_unique<Impl>(settings);
+}
+
+Node::~Node() = default;
+
+bool Node::start(Error *reason)
+{
+    return m_impl->start(reason);
+}
+
+void Node::run()
+{
+    m_impl->run();
+}
+
+void Node::requestStop()
+{
+    m_impl->requestStop();
+}
+
+} // namespace foxwing::node
--- /dev/null
+++ b/packages/node/src/postoffice.h
@@ -0,0 +1,65 @@
+/*
+    Inside a node: getting messages to whom they are for, by name.
+
+    Names become addresses from the settings, from views and lists of control, and from envelopes
+   that came in. A message to this node itself goes straight back to the loop.
+
+    [SECTION] Post office
+*/
+#pragma once
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include <foxwing/node/loop.h>
+#include <foxwing/node/message.h>
+#include <foxwing/wire/lanes.h>
+
+namespace foxwing::node {
+
+// [SECTION] Post office
+
+struct PostCounters
+{
+    std::uint64_t sent = 0;
+    std::uint64_t local = 0;
+    std::uint64_t received = 0;
+    std::uint64_t noAddress = 0;
+    std::uint64_t unreadable = 0;
+};
+
+class PostOffice
+{
+public:
+    // Both are called on the loop's thread.
+    using Receiver = std::function<void(Message &&)>;
+    using FailureReceiver = std::function<void(Message &&)>;
+
+    PostOffice(const wire::LaneSettings &settings, Loop &loop, Receiver onMessage,
+               FailureReceiver onFailure);
+
+    // The following on the loop's thread only.
+    void send(const std::string &to, Message message);
+    void learnAddress(const std::string &id, const std::string &address);
+    void flush(Milliseconds longest) { m_lanes.flush(longest); }
+
+    const PostCounters &counters() const { return m_counters; }
+    wire::LaneCounters laneCounters() const { return m_lanes.counters(); }
+
+    // From any thread: what another process delivered.
+    void receive(wire::Envelope &&envelope);
+
+private:
+    void takeLost(std::vector<Json::Value> &&lost);
+
+    std::string m_self;
+    Loop &m_loop;
+    Receiver m_onMessage;
+    FailureReceiver m_onFailure;
+    std::unordered_map<std::string, std::string> m_addresses;
+    PostCounters m_counters;
+    wire::LanePool m_lanes;
+};
+
+} // namespace foxwing::node
--- /dev/null
+++ b/packages/settings/src/tomlreader.cpp
@@ -0,0 +1,210 @@
+/*
+    The reader of TOML tables.
+
+    [SECTION] Values
+    [SECTION] Tables
+    [SECTION] Errors
+*/
+#include "tomlreader.h"
+
+#include <algorithm>
+#include <array>
+
+namespace foxwing::settings {
+
+// [SECTION] Values
+
+TomlReader::TomlReader(toml::table table, std::string path, std::string prefix, Error *reason)
+    : m_table(std::move(table))
+    , m_path(std::move(path))
+    , m_prefix(std::move(prefix))
+    , m_reason(reason)
+{ }
+
+bool TomlReader::ok() const
+{
+    return m_reason->kind == ErrorKind::None;
+}
+
+const toml::node *TomlReader::take(const char *key)
+{
+    m_asked.emplace_back(key);
+    return ok() ? m_table.get(key) : nullptr;
+}
+
+void TomlReader::text(const char *key, std::string &value)
+{
+    const toml::node *node = take(key);
+    if (node && !node->is_string())
+        refuse(key, "must be a string in quotes");
+    else if (node)
+        value = node->as_string()->get();
+}
+
+void TomlReader::flag(const char *key, bool &value)
+{
+    const toml::node *node = take(key);
+    if (node && !node->is_boolean())
+        refuse(key, "must be true or false");
+    else if (node)
+        value = node->as_boolean()->get();
+}
+
+void TomlReader::number(const char *key, double &value, double least, double most)
+{
+    const toml::node *node = take(key);
+    if (!node)
+        return;
+    const std::optional<double> read = node->value<double>();
+    if (!read || *read < least || *read > most)
+        refuse(key,
+               "must be a number from " + std::to_string(least) + " to " + std::to_string(most));
+    else
+        value = *read;
+}
+
+void TomlReader::readWhole(const char *key, std::int64_t &value, std::int64_t least,
+                           std::int64_t most)
+{
+    const toml::node *node = take(key);
+    if (!node)
+        return;
+    const bool fits = node->is_integer() && node->as_integer()->get() >= least
+            && node->as_integer()->get() <= most;
+    if (fits)
+        value = node->as_integer()->get();
+    else
+        refuse(key,
+               "must be a whole number from " + std::to_string(least) + " to "
+                       + std::to_string(most));
+}
+
+namespace {
+
+struct Unit
+{
+    const char *name;
+    std::int64_t milliseconds;
+};
+
+constexpr std::array<Unit, 4> Units { {
+        { "ms", 1 },
+        { "s", 1000 },
+        { "min", 60000 },
+        { "h", 3600000 },
+} };
+
+// Longer spans than this are slips.
+constexpr std::size_t MostSpanDigits = 9;
+
+std::optional<Milliseconds> parseSpan(const std::string &text)
+{
+    const std::size_t digits = text.find_first_not_of("0123456789");
+    if (digits == 0 || digits == std::string::npos || digits > MostSpanDigits)
+        return std::nullopt;
+    const std::string unit = text.substr(digits);
+    const auto found = std::find_if(Units.begin(), Units.end(),
+                                    [&](const Unit &known) { return unit == known.name; });
+    if (found == Units.end())
+        return std::nullopt;
+    return Milliseconds(std::stoll(text.substr(0, digits)) * found->milliseconds);
+}
+
+} // namespace
+
+void TomlReader::span(const char *key, Milliseconds &value)
+{
+    const toml::node *node = take(key);
+    if (!node)
+        return;
+    const auto read = node->is_string() ? parseSpan(node->as_string()->get()) : std::nullopt;
+    if (read)
+        value = *read;
+    else
+        refuse(key,
+               "must be a span with its unit in quotes, such as \"250ms\", \"3s\" or \"5min\"");
+}
+
+void TomlReader::span(const char *key, Seconds &value)
+{
+    Milliseconds read = std::chrono::duration_cast<Milliseconds>(value);
+    span(key, read);
+    if (read.count() % 1000 != 0)
+        refuse(key, "must be whole seconds");
+    value = std::chrono::duration_cast<Seconds>(read);
+}
+
+void TomlReader::list(const char *key, std::vector<std::string> &values)
+{
+    const toml::node *node = take(key);
+    if (!node)
+        return;
+    values.clear();
+    const toml::array *array = node->as_array();
+    if (!array)
+        return refuse(key, "must be a list of strings");
+    for (const toml::node &item : *array) {
+        if (!item.is_string())
+            return refuse(key, "must be a list of strings");
+        values.push_back(item.as_string()->get());
+    }
+}
+
+// [SECTION] Tables
+
+TomlReader TomlReader::table(const char *key)
+{
+    const toml::node *node = take(key);
+    if (node && !node->is_table())
+        refuse(key, std::string("must be a table: [") + key + "]");
+    toml::table inner = node && node->is_table() ? *node->as_table() : toml::table {};
+    return { std::move(inner), m_path, m_prefix + key + ".", m_reason };
+}
+
+std::vector<TomlReader> TomlReader::tables(const char *key)
+{
+    std::vector<TomlReader> readers;
+    const toml::node *node = take(key);
+    if (!node)
+        return readers;
+    const toml::array *array = node->as_array();
+    if (!array || !array->is_homogeneous(toml::node_type::table)) {
+        refuse(key, "must be a list of tables: [[" + m_prefix + key + "]]");
+        return readers;
+    }
+    for (const toml::node &item : *array)
+        readers.emplace_back(*item.as_table(), m_path, m_prefix + key + ".", m_reason);
+    return readers;
+}
+
+bool TomlReader::finish()
+{
+    for (const auto &item : m_table) {
+        const std::string key(item.first.str());
+        if (std::find(m_asked.begin(), m_asked.end(), key) != m_asked.end())
+            continue;
+        refuseAt(item.first.source(), key, "is not known; remove it or mend its name");
+    }
+    return ok();
+}
+
+// [SECTION] Errors
+
+void TomlReader::refuse(const char *key, const std::string &what)
+{
+    const toml::node *node = m_table.get(key);
+    refuseAt(node ? node->source() : m_table.source(), key, what);
+}
+
+void TomlReader::refuseAt(const toml::source_region &where, const std::string &key,
+                          const std::string &what)
+{
+    if (!ok())
+        return;
+    std::string place = m_path;
+    if (where.begin.line > 0)
+        place += ":" + std::to_string(where.begin.line);
+    fail(m_reason, ErrorKind::BadRequest, place + ": \"" + m_prefix + key + "\" " + what);
+}
+
+} // namespace foxwing::settings
--- /dev/null
+++ b/packages/settings/src/tomlreader.h
@@ -0,0 +1,67 @@
+/*
+    Reads tables of a TOML document and remembers what nobody asked for.
+
+    [SECTION] Reader
+*/
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <foxwing/base/error.h>
+#include <foxwing/base/time.h>
+#include <toml++/toml.h>
+
+namespace foxwing::settings {
+
+// [SECTION] Reader
+
+// One table. The first thing that is wrong is stored in reason and ends all further reading.
+class TomlReader
+{
+public:
+    TomlReader(toml::table table, std::string path, std::string prefix, Error *reason);
+
+    void text(const char *key, std::string &value);
+    void flag(const char *key, bool &value);
+    void number(const char *key, double &value, double least, double most);
+
+    // Spans are strings with a unit: "250ms", "3s", "5min".
+    void span(const char *key, Milliseconds &value);
+    void span(const char *key, Seconds &value);
+    void list(const char *key, std::vector<std::string> &values);
+
+    template<class Number>
+    void whole(const char *key, Number &value, std::int64_t least, std::int64_t most)
+    {
+        std::int64_t read = static_cast<std::int64_t>(value);
+        readWhole(key, read, least, most);
+        value = static_cast<Number>(read);
+    }
+
+    // A table inside this one; empty if it is not there.
+    TomlReader table(const char *key);
+    std::vector<TomlReader> tables(const char *key);
+
+    // The present key's value is wrong.
+    void refuse(const char *key, const std::string &what);
+
+    // Fails if something of the table was not asked for. True if all is well.
+    bool finish();
+
+    bool ok() const;
+
+private:
+    const toml::node *take(const char *key);
+    void readWhole(const char *key, std::int64_t &value, std::int64_t least, std::int64_t most);
+    void refuseAt(const toml::source_region &where, const std::string &key,
+                  const std::string &what);
+
+    toml::table m_table;
+    std::string m_path;
+    std::string m_prefix;
+    Error *m_reason;
+    std::vector<std::string> m_asked;
+};
+
+} // namespace foxwing::settings
--- /dev/null
+++ b/packages/wire/src/lanes.cpp
@@ -0,0 +1,223 @@
+/*
+    The threads that send.
+
+    [SECTION] Peers
+    [SECTION] Pool
+*/
+#include <foxwing/wire/lanes.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <curl/curl.h>
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+#include <foxwing/base/codec.h>
+
+#include "rpcclient.h"
+
+namespace foxwing::wire {
+
+// [SECTION] Peers
+
+namespace {
+
+struct Peer
+{
+    std::string address;
+    std::vector<Json::Value> waiting;
+    std::unique_ptr<RpcClient> client;
+
+    // In the queue of peers, or with a thread.
+    bool scheduled = false;
+
+    // Left alone until then.
+    std::chrono::steady_clock::time_point quietUntil {};
+    Milliseconds pause { 0 };
+};
+
+} // namespace
+
+// [SECTION] Pool
+
+class LanePool::Impl
+{
+public:
+    Impl(const LaneSettings &settings, FailureReceiver onFailure)
+        : m_settings(settings)
+        , m_onFailure(std::move(onFailure))
+    {
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+        for (unsigned int i = 0; i < settings.threads; ++i)
+            m_threads.emplace_back([this] { run(); });
+    }
+
+    ~Impl()
+    {
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_stopping = true;
+        }
+        m_wakeUp.notify_all();
+        for (std::thread &thread : m_threads)
+            thread.join();
+    }
+
+    void send(const std::string &address, Json::Value &&message)
+    {
+        std::vector<Json::Value> lost;
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            Peer &peer = m_peers[address];
+            peer.address = address;
+            const bool quiet = std::chrono::steady_clock::now() < peer.quietUntil;
+            if (quiet || peer.waiting.size() >= m_settings.mostWaiting) {
+                ++m_counters.failedMessages;
+                lost.push_back(std::move(message));
+            } else {
+                peer.waiting.push_back(std::move(message));
+                schedule(peer);
+            }
+        }
+        if (!lost.empty())
+            m_onFailure(address, std::move(lost));
+    }
+
+    void flush(Milliseconds longest)
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        m_idle.wait_for(lock, longest, [this] { return m_ready.empty() && m_busy == 0; });
+    }
+
+    LaneCounters counters() const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_counters;
+    }
+
+private:
+    void schedule(Peer &peer)
+    {
+        if (peer.scheduled)
+            return;
+        peer.scheduled = true;
+        m_ready.push_back(&peer);
+        m_wakeUp.notify_one();
+    }
+
+    std::vector<Json::Value> takeBatch(Peer &peer)
+    {
+        std::vector<Json::Value> batch;
+        if (peer.waiting.size() <= m_settings.mostInCall) {
+            batch.swap(peer.waiting);
+            return batch;
+        }
+        const auto end = peer.waiting.begin() + static_cast<std::ptrdiff_t>(m_settings.mostInCall);
+        batch.assign(std::make_move_iterator(peer.waiting.begin()), std::make_move_iterator(end));
+        peer.waiting.erase(peer.waiting.begin(), end);
+        return batch;
+    }
+
+    bool call(Peer &peer, const std::vector<Json::Value> &batch) const
+    {
+        Json::Value envelope(Json::objectValue);
+        envelope["from"] = m_settings.from;
+        envelope["address"] = m_settings.address;
+        envelope["secret"] = m_settings.secret;
+        Json::Value &messages = envelope["messages"] = Json::Value(Json::arrayValue);
+        for (const Json::Value &message : batch)
+            messages.append(message);
+        if (!peer.client)
+            peer.client = std::make_unique<RpcClient>(peer.address, m_settings.timeout.count());
+        return peer.client->deliver(envelope);
+    }
+
+    void noteCall(Peer &peer, bool taken, std::size_t messages)
+    {
+        ++m_counters.calls;
+        m_counters.messages += messages;
+        if (taken) {
+            peer.pause = Milliseconds::zero();
+            return;
+        }
+        ++m_counters.failedCalls;
+        m_counters.failedMessages += messages;
+        peer.pause = std::clamp(peer.pause * 2, m_settings.pause, m_settings.longestPause);
+        peer.quietUntil = std::chrono::steady_clock::now() + peer.pause;
+        peer.client.reset();
+    }
+
+    // Sends one batch to the peer that has waited longest.
+    void serveOne(std::unique_lock<std::mutex> &lock)
+    {
+        Peer &peer = *m_ready.front();
+        m_ready.pop_front();
+        std::vector<Json::Value> batch = takeBatch(peer);
+        ++m_busy;
+        lock.unlock();
+        const bool taken = call(peer, batch);
+        lock.lock();
+        noteCall(peer, taken, batch.size());
+        if (!taken)
+            std::move(peer.waiting.begin(), peer.waiting.end(), std::back_inserter(batch));
+        if (!taken)
+            peer.waiting.clear();
+        peer.scheduled = false;
+        if (!peer.waiting.empty())
+            schedule(peer);
+        lock.unlock();
+        if (!taken)
+            m_onFailure(peer.address, std::move(batch));
+        lock.lock();
+        --m_busy;
+        m_idle.notify_all();
+    }
+
+    void run()
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        while (!m_stopping) {
+            if (m_ready.empty())
+                m_wakeUp.wait(lock);
+            else
+                serveOne(lock);
+        }
+    }
+
+    LaneSettings m_settings;
+    FailureReceiver m_onFailure;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_wakeUp;
+    std::condition_variable m_idle;
+    std::unordered_map<std::string, Peer> m_peers;
+    std::deque<Peer *> m_ready;
+    std::size_t m_busy = 0;
+    bool m_stopping = false;
+    LaneCounters m_counters;
+    std::vector<std::thread> m_threads;
+};
+
+LanePool::LanePool(const LaneSettings &settings, FailureReceiver onFailure)
+    : m_impl(std::make_unique<Impl>(settings, std::move(onFailure)))
+{ }
+
+LanePool::~LanePool() = default;
+
+void LanePool::send(const std::string &address, Json::Value &&message)
+{
+    m_impl->send(address, std::move(message));
+}
+
+void LanePool::flush(Milliseconds longest)
+{
+    m_impl->flush(longest);
+}
+
+LaneCounters LanePool::counters() const
+{
+    return m_impl->counters();
+}
+
+} // namespace foxwing::wire
--- /dev/null
+++ b/packages/wire/src/rpcserver.cpp
@@ -0,0 +1,221 @@
+/*
+    The epoll connector and the one procedure behind it.
+
+    [SECTION] Connector
+    [SECTION] Procedures
+    [SECTION] Server
+*/
+#include <foxwing/wire/rpcserver.h>
+
+#include <arpa/inet.h>
+#include <jsonrpccpp/server.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+
+namespace foxwing::wire {
+
+namespace {
+
+// [SECTION] Connector
+
+// What has arrived of one call's body.
+struct Body
+{
+    std::string text;
+    bool tooLarge = false;
+};
+
+class EpollConnector : public jsonrpc::AbstractServerConnector
+{
+public:
+    explicit EpollConnector(const RpcServerSettings &settings)
+        : m_settings(settings)
+    { }
+    ~EpollConnector() override { stopDaemon(); }
+
+    bool StartListening() override
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(m_settings.port));
+        if (inet_pton(AF_INET, m_settings.host.c_str(), &address.sin_addr) != 1)
+            return false;
+        const unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_TURBO;
+        m_daemon = MHD_start_daemon(flags, 0, nullptr, nullptr, &EpollConnector::onRequest, this,
+                                    MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_THREAD_POOL_SIZE,
+                                    m_settings.threads, MHD_OPTION_CONNECTION_LIMIT,
+                                    m_settings.connectionLimit, MHD_OPTION_CONNECTION_TIMEOUT,
+                                    m_settings.idleSeconds, MHD_OPTION_NOTIFY_COMPLETED,
+                                    &EpollConnector::onCompleted, nullptr,
+                                    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+        return m_daemon != nullptr;
+    }
+
+    bool StopListening() override
+    {
+        stopDaemon();
+        return true;
+    }
+
+    // The answer is queued by onRequest() itself, so nothing comes through here.
+    bool SendResponse(const std::string &, void *) override { return false; }
+
+    int port() const
+    {
+        const MHD_DaemonInfo *info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT);
+        return info ? info->port : 0;
+    }
+
+private:
+    void stopDaemon()
+    {
+        if (m_daemon)
+            MHD_stop_daemon(m_daemon);
+        m_daemon = nullptr;
+    }
+
+    static MHD_Result answer(MHD_Connection *connection, unsigned int status,
+                             const std::string &text)
+    {
+        MHD_Response *response = MHD_create_response_from_buffer(text.size(),
+                                                                 const_cast<char *>(text.data()),
+                                                                 MHD_RESPMEM_MUST_COPY);
+        MHD_add_response_header(response, "Content-Type", "application/json");
+        const MHD_Result result = MHD_queue_response(connection, status, response);
+        MHD_destroy_response(response);
+        return result;
+    }
+
+    MHD_Result receive(MHD_Connection *connection, Body &body, const char *data,
+                       std::size_t *size) const
+    {
+        if (*size > 0) {
+            body.tooLarge = body.tooLarge || body.text.size() + *size > m_settings.mostBodyBytes;
+            if (!body.tooLarge)
+                body.text.append(data, *size);
+            *size = 0;
+            return MHD_YES;
+        }
+        if (body.tooLarge)
+            return answer(connection, MHD_HTTP_CONTENT_TOO_LARGE, {});
+        return call(connection, body.text);
+    }
+
+    MHD_Result call(MHD_Connection *connection, const std::string &request) const
+    {
+        std::string response;
+        jsonrpc::IClientConnectionHandler *procedures = const_cast<EpollConnector *>(this)
+                                                                ->GetHandler();
+        try {
+            procedures->HandleRequest(request, response);
+        } catch (const std::exception &) {
+            return answer(connection, MHD_HTTP_BAD_REQUEST, {});
+        }
+        return answer(connection, MHD_HTTP_OK, response);
+    }
+
+    static MHD_Result onRequest(void *self, MHD_Connection *connection, const char *,
+                                const char *method, const char *, const char *data,
+                                std::size_t *size, void **context)
+    {
+        const auto *connector = static_cast<const EpollConnector *>(self);
+        if (!*context) {
+            *context = new Body;
+            return MHD_YES;
+        }
+        if (std::string(method) != "POST")
+            return answer(connection, MHD_HTTP_METHOD_NOT_ALLOWED, {});
+        return connector->receive(connection, *static_cast<Body *>(*context), data, size);
+    }
+
+    static void onCompleted(void *, MHD_Connection *, void **context, MHD_RequestTerminationCode)
+    {
+        delete static_cast<Body *>(*context);
+        *context = nullptr;
+    }
+
+    RpcServerSettings m_settings;
+    MHD_Daemon *m_daemon = nullptr;
+};
+
+// [SECTION] Procedures
+
+class DeliveryServer : public jsonrpc::AbstractServer<DeliveryServer>
+{
+public:
+    DeliveryServer(EpollConnector &connector, std::string secret, RpcServer::Receiver receiver)
+        : jsonrpc::AbstractServer<DeliveryServer>(connector, jsonrpc::JSONRPC_SERVER_V2)
+        , m_secret(std::move(secret))
+        , m_receiver(std::move(receiver))
+    {
+        bindAndAddMethod(jsonrpc::Procedure("deliver", jsonrpc::PARAMS_BY_NAME,
+                                            jsonrpc::JSON_BOOLEAN, "from", jsonrpc::JSON_STRING,
+                                            "address", jsonrpc::JSON_STRING, "secret",
+                                            jsonrpc::JSON_STRING, "messages", jsonrpc::JSON_ARRAY,
+                                            nullptr),
+                         &DeliveryServer::deliver);
+    }
+
+    void deliver(const Json::Value &params, Json::Value &result)
+    {
+        result = params["secret"].asString() == m_secret;
+        if (!result.asBool())
+            return;
+        Envelope envelope;
+        envelope.from = params["from"].asString();
+        envelope.address = params["address"].asString();
+        for (const Json::Value &message : params["messages"])
+            envelope.messages.push_back(message);
+        m_receiver(std::move(envelope));
+    }
+
+private:
+    std::string m_secret;
+    RpcServer::Receiver m_receiver;
+};
+
+} // namespace
+
+// [SECTION] Server
+
+class RpcServer::Impl
+{
+public:
+    Impl(const RpcServerSettings &settings, Receiver receiver)
+        : connector(settings)
+        , server(connector, settings.secret, std::move(receiver))
+        , where(settings.host + ":" + std::to_string(settings.port))
+    { }
+
+    EpollConnector connector;
+    DeliveryServer server;
+    std::string where;
+};
+
+RpcServer::RpcServer(const RpcServerSettings &settings, Receiver receiver)
+    : m_impl(std::make_unique<Impl>(settings, std::move(receiver)))
+{ }
+
+RpcServer::~RpcServer() = default;
+
+bool RpcServer::start(Error *reason)
+{
+    if (m_impl->server.StartListening())
+        return true;
+    fail(reason, ErrorKind::Unavailable,
+         "can't listen on " + m_impl->where
+                 + "; give an IPv4 number of this host and a port that nobody uses");
+    return false;
+}
+
+void RpcServer::stop()
+{
+    m_impl->server.StopListening();
+}
+
+int RpcServer::port() const
+{
+    return m_impl->connector.port();
+}
+
+} // namespace foxwing::wire
