--- a/apps/foxwing/operatorcommands.cpp
+++ b/apps/foxwing/operatorcommands.cpp
@@ -51,7 +51,7 @@
     while (const dirent *item = directory ? ::readdir(directory) : nullptr) {
         const std::string name = item->d_name;
         if (endsWith(name, ".toml") || endsWith(name, ".json"))
-            files.push_back(path + "/" + name);
+            files.push_back(std::string(path).append("/").append(name));
     }
     if (directory)
         ::closedir(directory);
@@ -171,7 +171,7 @@
     const auto json = parseJson(reply.body, &ignored);
     if (options.json || !json || reply.status != 200)
         return printReply(options, reply);
-    const Json::Value one = *json;
+    const Json::Value &one = *json;
     const Json::Value items = one.isMember("items") ? one["items"] : Json::Value(Json::arrayValue);
     for (const Json::Value &item : items)
         std::printf("%s/%s version %s revision %s %s\n", item["kind"].asString().c_str(),
--- a/packages/agent/include/foxwing/agent/messages.h
+++ b/packages/agent/include/foxwing/agent/messages.h
@@ -205,6 +205,24 @@
     fields("agentIncarnation", taken.agentIncarnation);
 }
 
+// The owner gives the lease up in favour of another entry.
+struct Yield
+{
+    static constexpr const char *Type = "yield";
+    std::string from;
+    std::string to;
+    std::uint64_t leaseEpoch = 0;
+    std::uint64_t agentIncarnation = 0;
+};
+template<class Fields>
+void describe(Fields &fields, Yield &yield)
+{
+    fields("from", yield.from);
+    fields("to", yield.to);
+    fields("leaseEpoch", yield.leaseEpoch);
+    fields("agentIncarnation", yield.agentIncarnation);
+}
+
 // [SECTION] From the agent
 
 // All slots of this worker are yours until you stop answering or a higher epoch is offered.
@@ -331,7 +349,7 @@
 
 // [SECTION] Variants
 
-using ToAgent = std::variant<Start, Void, Cancel, Settle, Fence, LeaseTaken>;
+using ToAgent = std::variant<Start, Void, Cancel, Settle, Fence, LeaseTaken, Yield>;
 using FromAgent = std::variant<LeaseOffer, Finished, NotStarted, Started, Alive, Fenced>;
 
 } // namespace foxwing::agent
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -357,6 +357,8 @@
         handleFence(agent, *fence, now, actions);
     else if (const auto *taken = std::get_if<LeaseTaken>(&message))
         takeLeaseAnswer(agent, *taken, now);
+    else if (const auto *yield = std::get_if<Yield>(&message))
+        takeYield(agent, *yield, now, actions);
     return actions;
 }
 
--- a/packages/agent/src/lease.cpp
+++ b/packages/agent/src/lease.cpp
@@ -49,21 +49,25 @@
     });
 }
 
+void moveLease(AgentState &agent, const EntryHint &owner, Time now)
+{
+    agent.lease.owner = owner.id;
+    agent.lease.ownerIncarnation = owner.incarnation;
+    ++agent.lease.epoch;
+    ++agent.counters.ownerChanges;
+    agent.lease.heldUntil = now + agent.settings.leaseSpan;
+    agent.lease.nextOffer = now;
+}
+
 void chooseOwner(AgentState &agent, const std::string &excluded, Time now)
 {
     const AgentSettings &settings = agent.settings;
     const EntryHint *owner = preferredOwner(settings.id, settings.dataCentre, agent.entries,
                                             excluded);
-    if (!owner) {
+    if (owner)
+        moveLease(agent, *owner, now);
+    else
         agent.lease.owner.clear();
-        return;
-    }
-    agent.lease.owner = owner->id;
-    agent.lease.ownerIncarnation = owner->incarnation;
-    ++agent.lease.epoch;
-    ++agent.counters.ownerChanges;
-    agent.lease.heldUntil = now + settings.leaseSpan;
-    agent.lease.nextOffer = now;
 }
 
 void offerLease(AgentState &agent, Time now, AgentActions &actions)
@@ -121,6 +125,18 @@
     }
 }
 
+void takeYield(AgentState &agent, const Yield &yield, Time now, AgentActions &actions)
+{
+    const bool current = yield.agentIncarnation == agent.settings.incarnation
+            && yield.leaseEpoch == agent.lease.epoch && yield.from == agent.lease.owner;
+    const auto heir = std::find_if(agent.entries.begin(), agent.entries.end(),
+                                   [&](const EntryHint &entry) { return entry.id == yield.to; });
+    if (!current || heir == agent.entries.end())
+        return;
+    moveLease(agent, *heir, now);
+    renewLease(agent, now, actions);
+}
+
 bool leaseCovers(const AgentState &agent, const Start &start)
 {
     if (!holds(Guard::Fence))
--- a/packages/agent/src/lease.h
+++ b/packages/agent/src/lease.h
@@ -20,6 +20,9 @@
 // Whether a start comes from the owner in the present epoch.
 bool leaseCovers(const AgentState &agent, const Start &start);
 
+// Moves the lease to the entry that its owner names.
+void takeYield(AgentState &agent, const Yield &yield, Time now, AgentActions &actions);
+
 // Makes the next renewLease() send an offer at once.
 void offerSoon(AgentState &agent, Time now);
 
--- a/packages/claims/include/foxwing/claims/claims.h
+++ b/packages/claims/include/foxwing/claims/claims.h
@@ -66,6 +66,11 @@
 struct HeldRecord
 {
     Record record;
+
+    // Every replica is known to have it, so it may be spoken of. Only homes get to know; a new home
+    // finds out when it is asked for the record.
+    bool committed = false;
+    bool replicating = false;
     std::vector<std::string> unacknowledged;
     std::vector<Waiter> waiters;
     Time nextSend {};
--- a/packages/claims/src/claims.cpp
+++ b/packages/claims/src/claims.cpp
@@ -101,6 +101,8 @@
 
 void commit(HeldRecord &held, ClaimActions &actions)
 {
+    held.committed = true;
+    held.replicating = false;
     for (const Waiter &waiter : held.waiters)
         answerWaiter(waiter, held, actions);
     held.waiters.clear();
@@ -109,6 +111,7 @@
 // A new or changed record goes to the other replicas; waiters are answered when all have it.
 void replicate(ClaimTable &table, HeldRecord &held, Time now, ClaimActions &actions)
 {
+    held.committed = false;
     held.unacknowledged.clear();
     for (const Replica &replica : table.replicas[shardOf(held.record.job)]) {
         if (!(replica == table.settings.self))
@@ -116,7 +119,9 @@
     }
     if (held.unacknowledged.empty())
         return commit(held, actions);
-    table.uncommitted.push_back(held.record.job);
+    if (!held.replicating)
+        table.uncommitted.push_back(held.record.job);
+    held.replicating = true;
     sendCopies(table, held, now, actions);
 }
 
@@ -129,6 +134,7 @@
     HeldRecord &held = shard.records[copy.record.job];
     if (copy.record.epoch >= held.record.epoch) {
         held.record = copy.record;
+        held.committed = false;
         table.ages.push_back({ copy.record.claimedAt, copy.record.job });
     }
     Copied copied;
@@ -151,7 +157,7 @@
         return;
     std::vector<std::string> &missing = held.unacknowledged;
     missing.erase(std::remove(missing.begin(), missing.end(), copied.from), missing.end());
-    if (missing.empty())
+    if (held.replicating && missing.empty())
         commit(held, actions);
 }
 
@@ -209,8 +215,10 @@
         return answerVerdict(ask, Verdict::OwnerLost, actions);
     ++table.counters.joined;
     held.waiters.push_back({ ask.from.id, ask.nonce, false });
-    if (held.unacknowledged.empty())
+    if (held.committed)
         commit(held, actions);
+    else if (!held.replicating)
+        replicate(table, held, now, actions);
 }
 
 void handleAsk(ClaimTable &table, const Ask &ask, Time now, WallTime wallNow, ClaimActions &actions)
@@ -246,12 +254,12 @@
     }
     HeldRecord &held = found->second;
     held.waiters.push_back({ release.from.id, 0, true });
-    if (!held.record.notRun) {
-        held.record.notRun = true;
-        replicate(table, held, now, actions);
-    } else if (held.unacknowledged.empty()) {
+    const bool changed = !held.record.notRun;
+    held.record.notRun = true;
+    if (held.committed && !changed)
         commit(held, actions);
-    }
+    else if (changed || !held.replicating)
+        replicate(table, held, now, actions);
 }
 
 void resendCopies(ClaimTable &table, Time now, ClaimActions &actions)
@@ -261,7 +269,7 @@
     for (const std::string &job : jobs) {
         Shard &shard = table.shards[shardOf(job)];
         const auto found = shard.records.find(job);
-        if (found == shard.records.end() || found->second.unacknowledged.empty())
+        if (found == shard.records.end() || !found->second.replicating)
             continue;
         if (now >= found->second.nextSend)
             sendCopies(table, found->second, now, actions);
--- a/packages/claims/src/shardtransfer.cpp
+++ b/packages/claims/src/shardtransfer.cpp
@@ -78,39 +78,31 @@
     shard.heldIn = wanted && base.replicas.empty() ? table.view.number : 0;
 }
 
-// Records that some replica of the old view may lack. Nobody was told of them, so their askers ask
-// again; until then the new home must bring every replica of the new view up to date.
-void carryUncommitted(ClaimTable &table)
+// Replication that was under way in the old view must begin anew: the askers ask again.
+void dropReplication(ClaimTable &table)
 {
-    std::vector<std::string> jobs;
-    jobs.swap(table.uncommitted);
-    for (const std::string &job : jobs) {
-        const std::uint32_t number = shardOf(job);
-        const auto found = table.shards[number].records.find(job);
-        if (found == table.shards[number].records.end())
+    for (const std::string &job : table.uncommitted) {
+        Shard &shard = table.shards[shardOf(job)];
+        const auto found = shard.records.find(job);
+        if (found == shard.records.end())
             continue;
-        HeldRecord &held = found->second;
-        held.waiters.clear();
-        held.unacknowledged.clear();
-        const std::vector<Replica> &replicas = table.replicas[number];
-        if (replicas.empty() || !(replicas[0] == table.settings.self))
-            continue;
-        for (std::size_t i = 1; i < replicas.size(); ++i)
-            held.unacknowledged.push_back(replicas[i].id);
-        table.uncommitted.push_back(job);
+        found->second.waiters.clear();
+        found->second.unacknowledged.clear();
+        found->second.replicating = false;
     }
+    table.uncommitted.clear();
 }
 
 } // namespace
 
 void beginTransfer(ClaimTable &table, Time now, ClaimActions &actions)
 {
+    dropReplication(table);
     table.outgoing.clear();
     for (std::uint32_t number = 0; number < ShardCount; ++number) {
         table.replicas[number] = replicasOf(table.view, number);
         enterShard(table, number, now);
     }
-    carryUncommitted(table);
     table.nextHeldReport = now;
     tickTransfer(table, now, actions);
 }
--- a/packages/control/include/foxwing/control/control.h
+++ b/packages/control/include/foxwing/control/control.h
@@ -44,6 +44,9 @@
     // Added to the date of a loss, for clocks that differ.
     Milliseconds clockSkew { 2000 };
 
+    // A node that is cut off from control takes no new work after this long; until then it may.
+    Milliseconds configurationLease { 10000 };
+
     // A dead agent is remembered this long: as long as what it may have started.
     Seconds agentMemory { 900 };
 };
@@ -79,6 +82,9 @@
     std::map<std::string, NodeRecord> nodes;
     std::uint64_t agentsVersion = 1;
 
+    // Agents that were lost before this date may be missing from the list; milliseconds since 1970.
+    std::int64_t agentsSince = 0;
+
     // A view that was proposed and is not committed yet.
     bool viewProposed = false;
     Time nextViewAt {};
@@ -117,7 +123,8 @@
 
 // [SECTION] Functions
 
-ControlState makeControl(const ControlSettings &settings, ClusterState cluster, Time now);
+ControlState makeControl(const ControlSettings &settings, ClusterState cluster, Time now,
+                         WallTime wallNow);
 
 ControlActions handleBeat(ControlState &control, const Beat &beat, Time now, WallTime wallNow);
 
--- a/packages/control/include/foxwing/control/messages.h
+++ b/packages/control/include/foxwing/control/messages.h
@@ -117,6 +117,9 @@
     std::uint64_t agentsVersion = 0;
     bool hasAgents = false;
     std::vector<AgentHint> agents;
+
+    // Agents that were lost before this date may be missing; milliseconds since 1970.
+    std::int64_t agentsSince = 0;
 };
 template<class Fields>
 void describe(Fields &fields, Update &update)
@@ -130,6 +133,7 @@
     fields("agentsVersion", update.agentsVersion);
     fields("hasAgents", update.hasAgents);
     fields("agents", update.agents);
+    fields("agentsSince", update.agentsSince);
 }
 
 // [SECTION] Variant
--- a/packages/control/src/control.cpp
+++ b/packages/control/src/control.cpp
@@ -140,6 +140,7 @@
     if (!beat.isEntry || beat.agentsVersion == control.agentsVersion)
         return;
     update.hasAgents = true;
+    update.agentsSince = control.agentsSince;
     for (const auto &entry : control.nodes) {
         const NodeRecord &node = entry.second;
         if (!node.last.isAgent)
@@ -227,11 +228,17 @@
 
 // [SECTION] Entry points
 
-ControlState makeControl(const ControlSettings &settings, ClusterState cluster, Time now)
+ControlState makeControl(const ControlSettings &settings, ClusterState cluster, Time now,
+                         WallTime wallNow)
 {
     ControlState control;
     control.settings = settings;
     control.cluster = std::move(cluster);
+    // Versions of earlier leaders must not be taken for this one's.
+    control.agentsVersion = static_cast<std::uint64_t>(wallNow.time_since_epoch().count());
+    const WallTime since = wallNow + settings.configurationLease;
+    if (!control.cluster.view.members.empty())
+        control.agentsSince = since.time_since_epoch().count();
     // After a restart the members of the last view need the time to beat once.
     if (!control.cluster.view.members.empty())
         control.settledAt = now + settings.deadAfter;
@@ -254,9 +261,14 @@
 
 ChangeResult committed(ControlState &control, const Command &command)
 {
+    const std::uint64_t number = control.cluster.view.number;
+    ChangeResult result = applyCommand(control.cluster, command);
     if (std::holds_alternative<ViewCommand>(command))
         control.viewProposed = false;
-    return applyCommand(control.cluster, command);
+    // What was ready in the view before says nothing about this one.
+    if (control.cluster.view.number != number)
+        control.readyShards.clear();
+    return result;
 }
 
 ControlActions tick(ControlState &control, Time now, WallTime wallNow)
--- a/packages/control/src/validation.cpp
+++ b/packages/control/src/validation.cpp
@@ -132,7 +132,7 @@
     SpecReader reader(spec, "service", reason);
     reader.whole("mostTasks", service.mostTasks, 1, 10000);
     reader.whole("mostPayloadBytes", service.mostPayloadBytes, 1, 16U << 20U);
-    reader.whole("longestTimeMs", service.longestTimeMs, 1, 24U * 3600U * 1000U);
+    reader.whole("longestTimeMs", service.longestTimeMs, 1, std::uint64_t { 24 } * 3600 * 1000);
     if (!reader.finish())
         return std::nullopt;
     return service;
--- a/packages/dispatch/include/foxwing/dispatch/dispatcher.h
+++ b/packages/dispatch/include/foxwing/dispatch/dispatcher.h
@@ -86,6 +86,7 @@
 {
     Microseconds mean { 0 };
     std::uint32_t samples = 0;
+    Time learnedAt {};
 };
 
 struct ServiceState
@@ -97,6 +98,7 @@
     // Run times of all classes together, and how many tasks wait: what a newcomer has before it.
     ClassEstimate overall;
     std::uint32_t waitingTasks = 0;
+    std::uint32_t runningTasks = 0;
 };
 
 struct DispatchCounters
@@ -111,6 +113,7 @@
     std::uint64_t workersLost = 0;
     std::uint64_t ejections = 0;
     std::uint64_t takeovers = 0;
+    std::uint64_t yields = 0;
     std::uint64_t complete = 0;
     std::uint64_t failed = 0;
     std::uint64_t notRun = 0;
@@ -177,13 +180,26 @@
     std::vector<std::string> ended;
 };
 
-// An agent that may have started tasks of a job that is taken over.
-struct FenceTarget
+// What is known of a job that is taken over.
+struct Takeover
 {
-    std::string agent;
+    // Agents that may have started tasks of it.
+    std::vector<std::string> agents;
 
-    // An incarnation that may have started some of them is gone and can't be asked.
-    bool lost = false;
+    // There may have been others that can't be asked any more.
+    bool hasGaps = false;
+
+    // When it was claimed, less the differences of clocks; milliseconds since 1970. An agent that
+    // started later may have lost the memory of a task.
+    std::int64_t claimedAt = 0;
+};
+
+// How busy one service is at this entry.
+struct ServiceLoad
+{
+    std::uint32_t slots = 0;
+    std::uint32_t busy = 0;
+    std::uint32_t waiting = 0;
 };
 
 // [SECTION] Functions
@@ -203,7 +219,7 @@
 
 // Takes a job over from a dead owner: fences it at the agents, collects, and goes on.
 Actions adoptJob(Dispatcher &dispatcher, const JobSpec &spec, std::uint64_t epoch,
-                 const std::vector<FenceTarget> &targets, Time now);
+                 const Takeover &takeover, Time now);
 
 // Ends a job on the caller's word. No effect on one that has ended.
 Actions cancelJob(Dispatcher &dispatcher, const std::string &key, Time now);
@@ -220,6 +236,13 @@
 // The job with this key, or null.
 const Job *findJob(const Dispatcher &dispatcher, const std::string &key);
 
+ServiceLoad serviceLoad(const Dispatcher &dispatcher, const std::string &service);
+
+// Gives the lease of one worker to another entry: an idle one if there is any, else, if the other
+// entry has none at all, one of several busy ones. What runs there is finished all the same.
+Actions yieldWorker(Dispatcher &dispatcher, const std::string &service, const std::string &heir,
+                    const std::string &heirDataCentre, bool heirHasNone);
+
 // Jobs that have not ended.
 std::size_t activeJobs(const Dispatcher &dispatcher);
 
--- a/packages/dispatch/include/foxwing/dispatch/job.h
+++ b/packages/dispatch/include/foxwing/dispatch/job.h
@@ -128,6 +128,7 @@
     // Takeover: agents that have not answered the fence yet.
     std::vector<std::string> unanswered;
     bool collectionHasGaps = false;
+    std::int64_t claimedAt = 0;
     Time collectUntil {};
     Time nextFence {};
 
--- a/packages/dispatch/include/foxwing/dispatch/workerpool.h
+++ b/packages/dispatch/include/foxwing/dispatch/workerpool.h
@@ -73,8 +73,9 @@
     std::set<FreeOrder> trial;
     ServiceHealth health;
 
-    // Slots of all leased workers.
+    // Over all leased workers
     std::uint32_t slots = 0;
+    std::uint32_t leasedWorkers = 0;
 };
 
 // What an offer changed.
@@ -103,6 +104,9 @@
 // Takes a worker out of the sets before it is changed.
 void unplaceWorker(WorkerPool &pool, const Worker &worker);
 
+// The lease is over; the worker stays known while tasks of ours run there.
+void endLease(WorkerPool &pool, Worker &worker);
+
 // Removes a worker for good.
 void dropWorker(WorkerPool &pool, const std::string &id);
 
--- a/packages/dispatch/src/dispatcher.cpp
+++ b/packages/dispatch/src/dispatcher.cpp
@@ -94,8 +94,9 @@
 
 // [SECTION] Messages from agents
 
-void learn(ClassEstimate &estimate, Microseconds runTime)
+void learn(ClassEstimate &estimate, Microseconds runTime, Time now)
 {
+    estimate.learnedAt = now;
     ++estimate.samples;
     if (estimate.samples == 1)
         estimate.mean = runTime;
@@ -103,11 +104,11 @@
         estimate.mean += (runTime - estimate.mean) / EstimateShare;
 }
 
-void learnRunTime(ServiceState &service, const JobSpec &spec, Microseconds runTime)
+void learnRunTime(ServiceState &service, const JobSpec &spec, Microseconds runTime, Time now)
 {
     ClassEstimate &estimate = service.estimates[spec.team + "/" + spec.workClass];
-    learn(estimate, runTime);
-    learn(service.overall, runTime);
+    learn(estimate, runTime, now);
+    learn(service.overall, runTime, now);
 }
 
 void judgeWorker(Dispatcher &dispatcher, ServiceState &service, const std::string &id,
@@ -133,7 +134,7 @@
     task.state = TaskState::Done;
     ++dispatcher.counters.results;
     if (succeeded)
-        learnRunTime(service, job.spec, finished.runTime);
+        learnRunTime(service, job.spec, finished.runTime, now);
     if (succeeded || finished.end == agent::TaskEnd::Failed)
         judgeWorker(dispatcher, service, finished.agent, succeeded, now);
     if (finished.end == agent::TaskEnd::DeadlinePassed)
@@ -302,10 +303,8 @@
     unplaceWorker(pool, worker);
     if (worker.restUntil != Time {} && now >= worker.restUntil)
         worker.restUntil = Time {};
-    if (worker.leased && now >= worker.lastOffer + dispatcher.settings.leaseSpan) {
-        worker.leased = false;
-        pool.slots -= worker.slots;
-    }
+    if (worker.leased && now >= worker.lastOffer + dispatcher.settings.leaseSpan)
+        endLease(pool, worker);
     endEjection(worker.health, now);
     placeWorker(pool, worker);
 }
@@ -412,6 +411,22 @@
     return spec.declaredTime > Microseconds::zero() ? spec.declaredTime : UnknownTime;
 }
 
+namespace {
+
+// The run time that is certain enough to refuse work by. What callers declare is often far off, and
+// so is a mean of few or old samples; work that is let through then brings new ones.
+Microseconds reliableTime(const ServiceState &service, const JobSpec &spec, Time now)
+{
+    constexpr std::uint32_t FewestSamples = 16;
+    constexpr Seconds LongestAge { 5 };
+    const auto found = service.estimates.find(spec.team + "/" + spec.workClass);
+    const bool reliable = found != service.estimates.end() && found->second.samples >= FewestSamples
+            && now < found->second.learnedAt + LongestAge;
+    return reliable ? found->second.mean : Microseconds::zero();
+}
+
+} // namespace
+
 std::optional<Error> refuseJob(const Dispatcher &dispatcher, const JobSpec &spec, Time now)
 {
     if (spec.deadline <= now)
@@ -427,9 +442,8 @@
         return Error { ErrorKind::QueueFull,
                        "the queue of " + spec.service + " is full; come back later",
                        Outcome::NotRun, std::max(comeBack, Milliseconds { 100 }) };
-    // Only measured classes are refused: what callers declare is often far off.
-    const bool measured = service.estimates.count(spec.team + "/" + spec.workClass) != 0;
-    if (measured && now + wait + expectedTime(service, spec) > spec.deadline)
+    const Microseconds needed = wait + reliableTime(service, spec, now);
+    if (now + needed > spec.deadline)
         return Error { ErrorKind::DeadlineUnreachable,
                        "the work can't be done before its deadline; come back later or allow more "
                        "time",
@@ -455,7 +469,7 @@
 }
 
 Actions adoptJob(Dispatcher &dispatcher, const JobSpec &spec, std::uint64_t epoch,
-                 const std::vector<FenceTarget> &targets, Time now)
+                 const Takeover &takeover, Time now)
 {
     Actions actions;
     serviceOf(dispatcher, spec.service);
@@ -464,10 +478,9 @@
     job.state = JobState::Collecting;
     job.mayHaveRun = true;
     job.collectUntil = now + dispatcher.settings.collectSpan;
-    for (const FenceTarget &target : targets) {
-        job.unanswered.push_back(target.agent);
-        job.collectionHasGaps = job.collectionHasGaps || target.lost;
-    }
+    job.unanswered = takeover.agents;
+    job.collectionHasGaps = takeover.hasGaps;
+    job.claimedAt = takeover.claimedAt;
     if (job.unanswered.empty()) {
         endCollection(dispatcher, job, now, actions);
     } else {
@@ -553,6 +566,43 @@
     return found == dispatcher.jobs.end() ? nullptr : &found->second;
 }
 
+ServiceLoad serviceLoad(const Dispatcher &dispatcher, const std::string &name)
+{
+    ServiceLoad load;
+    const auto found = dispatcher.services.find(name);
+    if (found == dispatcher.services.end())
+        return load;
+    load.slots = found->second.pool.slots;
+    load.busy = found->second.runningTasks;
+    load.waiting = found->second.waitingTasks;
+    return load;
+}
+
+Actions yieldWorker(Dispatcher &dispatcher, const std::string &serviceName, const std::string &heir,
+                    const std::string &heirDataCentre, bool heirHasNone)
+{
+    Actions actions;
+    WorkerPool &pool = serviceOf(dispatcher, serviceName).pool;
+    Worker *chosen = nullptr;
+    for (auto &entry : pool.workers) {
+        Worker &worker = entry.second;
+        const bool near = worker.dataCentre == heirDataCentre
+                || worker.dataCentre != pool.dataCentre || heirHasNone;
+        const bool spare = worker.ours == 0 || heirHasNone;
+        const bool better = !chosen || worker.ours < chosen->ours;
+        if (worker.leased && !worker.leaving && near && spare && better)
+            chosen = &worker;
+    }
+    if (!chosen)
+        return actions;
+    endLease(pool, *chosen);
+    ++dispatcher.counters.yields;
+    const agent::Yield yield { dispatcher.settings.id, heir, chosen->leaseEpoch,
+                               chosen->incarnation };
+    actions.sends.push_back({ chosen->id, yield });
+    return actions;
+}
+
 std::size_t activeJobs(const Dispatcher &dispatcher)
 {
     return dispatcher.jobs.size() - dispatcher.ended.size();
--- a/packages/dispatch/src/jobtable.cpp
+++ b/packages/dispatch/src/jobtable.cpp
@@ -34,8 +34,10 @@
 
 namespace {
 
-void setTeamRunning(Dispatcher &dispatcher, const std::string &team, int change)
+void countRunning(Dispatcher &dispatcher, const Job &job, int change)
 {
+    const std::string &team = job.spec.team;
+    dispatcher.services[job.spec.service].runningTasks += static_cast<std::uint32_t>(change);
     std::uint32_t &running = dispatcher.teamRunning[team];
     running += static_cast<std::uint32_t>(change);
     const auto limit = dispatcher.teamLimits.find(team);
@@ -75,6 +77,7 @@
 
 void addOutstanding(Dispatcher &dispatcher, Job &job, Task &task)
 {
+    countRunning(dispatcher, job, 1);
     task.outstandingAt = dispatcher.outstanding.size();
     dispatcher.outstanding.push_back(refOf(job, task));
 }
@@ -91,7 +94,6 @@
     task.nextVerify = now + task.verifyWait;
     task.charged = expectedTime(service, job.spec);
     chargeTeam(service.queue, job.spec.team, task.charged);
-    setTeamRunning(dispatcher, job.spec.team, 1);
     addOutstanding(dispatcher, job, task);
 }
 
@@ -103,7 +105,7 @@
         releaseSlot(service.pool, *worker);
     chargeTeam(service.queue, job.spec.team, runTime - task.charged);
     task.charged = Microseconds::zero();
-    setTeamRunning(dispatcher, job.spec.team, -1);
+    countRunning(dispatcher, job, -1);
     removeOutstanding(dispatcher, task);
 }
 
--- a/packages/dispatch/src/takeover.cpp
+++ b/packages/dispatch/src/takeover.cpp
@@ -52,7 +52,6 @@
         task.sentAt = now;
         task.verifyWait = dispatcher.settings.verifyAfter;
         task.nextVerify = now + task.verifyWait;
-        ++dispatcher.teamRunning[job.spec.team];
         addOutstanding(dispatcher, job, task);
         return;
     }
@@ -85,6 +84,9 @@
                        "another entry has taken this job over; ask again with the same id", now,
                        actions);
     job.unanswered.erase(waiting);
+    // Incarnations are the dates at which agents started.
+    const auto startedAt = static_cast<std::int64_t>(fenced.agentIncarnation);
+    job.collectionHasGaps = job.collectionHasGaps || startedAt >= job.claimedAt;
     for (const agent::KnownTask &known : fenced.tasks) {
         if (job.state == JobState::Ended || known.ref.task >= job.tasks.size())
             return;
--- a/packages/dispatch/src/workerpool.cpp
+++ b/packages/dispatch/src/workerpool.cpp
@@ -64,8 +64,7 @@
     const bool restarted = !isNew && offer.agentIncarnation > worker.incarnation;
     if (restarted)
         worker.ours = 0;
-    if (worker.leased)
-        pool.slots -= worker.slots;
+    endLease(pool, worker);
     worker.incarnation = offer.agentIncarnation;
     worker.leaseEpoch = offer.leaseEpoch;
     worker.dataCentre = offer.dataCentre;
@@ -76,19 +75,28 @@
     worker.lastOffer = now;
     worker.lastHeard = now;
     pool.slots += worker.slots;
+    ++pool.leasedWorkers;
     placeWorker(pool, worker);
     return restarted ? OfferEffect::Restarted : OfferEffect::None;
 }
 
+void endLease(WorkerPool &pool, Worker &worker)
+{
+    unplaceWorker(pool, worker);
+    if (!worker.leased)
+        return;
+    worker.leased = false;
+    pool.slots -= worker.slots;
+    --pool.leasedWorkers;
+}
+
 void dropWorker(WorkerPool &pool, const std::string &id)
 {
     const auto found = pool.workers.find(id);
     if (found == pool.workers.end())
         return;
-    unplaceWorker(pool, found->second);
+    endLease(pool, found->second);
     forgetWorker(pool.health, found->second.health);
-    if (found->second.leased)
-        pool.slots -= found->second.slots;
     pool.workers.erase(found);
 }
 
--- a/packages/edge/src/httpserver.cpp
+++ b/packages/edge/src/httpserver.cpp
@@ -22,8 +22,8 @@
 class Responder::Impl
 {
 public:
-    explicit Impl(http::http_request request)
-        : m_request(std::move(request))
+    explicit Impl(const http::http_request &request)
+        : m_request(request)
     { }
 
     void reply(int status, const std::string &contentType, const std::string &body,
@@ -75,7 +75,7 @@
     static const std::string bearer = "Bearer ";
     HttpRequest request;
     request.method = message.method();
-    const web::uri uri = message.request_uri();
+    const web::uri &uri = message.request_uri();
     for (const std::string &part : web::uri::split_path(uri.path()))
         request.path.push_back(decode(part));
     for (const auto &parameter : web::uri::split_query(uri.query()))
@@ -122,7 +122,7 @@
             });
         try {
             m_listener = http::experimental::listener::http_listener(web::uri(url), config);
-            m_listener.support([this](http::http_request message) { receive(std::move(message)); });
+            m_listener.support([this](const http::http_request &message) { receive(message); });
             m_listener.open().wait();
             m_open = true;
             return true;
@@ -147,7 +147,7 @@
     }
 
 private:
-    void receive(http::http_request message)
+    void receive(const http::http_request &message)
     {
         const Responder responder(std::make_shared<Responder::Impl>(message));
         HttpRequest request = readHead(message);
@@ -166,7 +166,7 @@
             return refuse(responder, ErrorKind::Unavailable,
                           "too many requests arrive at this entry; come back in a second");
         }
-        readBody(std::move(message), std::move(request), responder);
+        readBody(message, std::move(request), responder);
     }
 
     void readBody(http::http_request message, HttpRequest request, const Responder &responder)
--- a/packages/entry/include/foxwing/entry/entry.h
+++ b/packages/entry/include/foxwing/entry/entry.h
@@ -20,6 +20,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -28,6 +29,7 @@
 #include <foxwing/claims/claims.h>
 #include <foxwing/dispatch/dispatcher.h>
 #include <foxwing/entry/messages.h>
+#include <foxwing/entry/placement.h>
 #include <foxwing/entry/teams.h>
 
 namespace foxwing::entry {
@@ -42,6 +44,7 @@
 
     dispatch::DispatchSettings dispatch;
     claims::ClaimSettings claims;
+    PlacementSettings placement;
 
     // A question to another entry is asked again after this long, then with doubled waits.
     Milliseconds askInterval { 100 };
@@ -94,6 +97,8 @@
     Joined,
     // The dispatcher of this entry runs it.
     Running,
+    // The claim of a lost entry is held; the list of agents must be newer than that.
+    Refreshing,
     // It ended as "not run" and the home must confirm that before anybody is told.
     Releasing,
 };
@@ -107,6 +112,9 @@
     bool lookOnly = false;
     bool cancel = false;
 
+    // Another entry was asked to run it; the body is kept in case that entry is lost.
+    bool handedOff = false;
+
     // Refused already; the claim only makes sure that no other entry runs it.
     Error refusal;
 
@@ -118,6 +126,8 @@
     Time deadline {};
     Time nextSend {};
     Time releaseUntil {};
+    Time grantedAt {};
+    std::int64_t claimedAt = 0;
     Milliseconds sendWait { 0 };
 };
 
@@ -127,11 +137,19 @@
     std::string id;
     std::string service;
 
-    // When an earlier life of it ended, or its present one; milliseconds since 1970, 0 for never.
+    // When a life of it ended last; milliseconds since 1970, 0 for never.
     std::int64_t lostAt = 0;
     bool live = false;
 };
 
+struct KnownAgents
+{
+    std::vector<KnownAgent> agents;
+
+    // Agents that were lost before this date may be missing; milliseconds since 1970.
+    std::int64_t since = 0;
+};
+
 // An ask that was given up before its answer came; a late grant must be given back.
 struct AbandonedAsk
 {
@@ -144,6 +162,7 @@
     std::uint64_t submissions = 0;
     std::uint64_t refusals = 0;
     std::uint64_t joins = 0;
+    std::uint64_t handoffs = 0;
     std::uint64_t repliesComplete = 0;
     std::uint64_t repliesFailed = 0;
     std::uint64_t repliesNotRun = 0;
@@ -154,9 +173,10 @@
 {
     EntrySettings settings;
     Directory directory;
-    std::vector<KnownAgent> agents;
+    KnownAgents agents;
     dispatch::Dispatcher dispatcher;
     claims::ClaimTable claims;
+    Placement placement;
     std::unordered_map<std::string, Pending> pending;
 
     // Keys of pending submissions that wait for another process.
@@ -169,8 +189,14 @@
     std::unordered_map<WaiterId, std::string> waiterJobs;
 
     bool leaving = false;
+
+    // Control should be asked at once, since a takeover waits for its word.
+    bool beatWanted = false;
     std::uint64_t nextNonce = 1;
     std::uint64_t nextAnonymous = 1;
+
+    // For ids of requests that came without one.
+    std::mt19937_64 random;
     EntryCounters counters;
 };
 
--- a/packages/entry/include/foxwing/entry/messages.h
+++ b/packages/entry/include/foxwing/entry/messages.h
@@ -53,8 +53,78 @@
     fields("message", answer.message);
 }
 
+// A submission that another entry should run, because it has more free slots. Answered with
+// JoinAnswer, and repeated until then.
+struct Handoff
+{
+    static constexpr const char *Type = "handoff";
+    std::string from;
+
+    // The submission
+    std::string team;
+    std::string submission;
+    std::string digest;
+    std::string service;
+    std::string workClass;
+    std::vector<std::string> payloads;
+    Microseconds declaredTime { 0 };
+    Microseconds timeLeft { 0 };
+    bool repeatable = false;
+    bool request = false;
+};
+template<class Fields>
+void describe(Fields &fields, Handoff &handoff)
+{
+    fields("from", handoff.from);
+    fields("team", handoff.team);
+    fields("submission", handoff.submission);
+    fields("digest", handoff.digest);
+    fields("service", handoff.service);
+    fields("workClass", handoff.workClass);
+    fields("payloads", handoff.payloads);
+    fields("declaredTime", handoff.declaredTime);
+    fields("timeLeft", handoff.timeLeft);
+    fields("repeatable", handoff.repeatable);
+    fields("request", handoff.request);
+}
+
+// How busy one service is at the sender.
+struct ReportedLoad
+{
+    std::string service;
+    std::uint32_t slots = 0;
+    std::uint32_t busy = 0;
+    std::uint32_t waiting = 0;
+};
+template<class Fields>
+void describe(Fields &fields, ReportedLoad &load)
+{
+    fields("service", load.service);
+    fields("slots", load.slots);
+    fields("busy", load.busy);
+    fields("waiting", load.waiting);
+}
+
+// Sent to every other entry when it changed, a few times a second at the most.
+struct LoadReport
+{
+    static constexpr const char *Type = "load";
+    std::string from;
+    std::string dataCentre;
+    bool leaving = false;
+    std::vector<ReportedLoad> loads;
+};
+template<class Fields>
+void describe(Fields &fields, LoadReport &report)
+{
+    fields("from", report.from);
+    fields("dataCentre", report.dataCentre);
+    fields("leaving", report.leaving);
+    fields("loads", report.loads);
+}
+
 // [SECTION] Variant
 
-using EntryMessage = std::variant<Join, JoinAnswer>;
+using EntryMessage = std::variant<Join, JoinAnswer, Handoff, LoadReport>;
 
 } // namespace foxwing::entry
--- a/packages/entry/src/entry.cpp
+++ b/packages/entry/src/entry.cpp
@@ -6,12 +6,14 @@
     [SECTION] Claims
     [SECTION] Ends of jobs
     [SECTION] Time
+    [SECTION] Other entries
     [SECTION] Entry points
 */
 #include <foxwing/entry/entry.h>
 
 #include <algorithm>
 
+#include <foxwing/base/digest.h>
 #include <foxwing/base/submissionid.h>
 
 #include "joining.h"
@@ -23,6 +25,9 @@
 // Late grants are recognised among this many given-up asks.
 constexpr std::size_t MostAbandonedAsks = 10000;
 
+// Nonces of one life begin where no earlier life can have come.
+constexpr int NonceBits = 20;
+
 // [SECTION] Carrying actions on
 
 void endJobs(EntryState &entry, const std::vector<std::string> &keys, Time now,
@@ -180,6 +185,38 @@
     runHere(entry, key, pending, now, actions);
 }
 
+// The peer that should own this submission; none if this entry should.
+std::optional<claims::Replica> otherOwner(EntryState &entry, const SubmitRequest &request, Time now)
+{
+    const std::string owner = chooseOwner(entry.placement, request.service,
+                                          dispatch::serviceLoad(entry.dispatcher, request.service),
+                                          static_cast<std::uint32_t>(request.payloads.size()), now);
+    for (const claims::Member &member : entry.claims.view.members) {
+        if (member.replica.id == owner && owner != entry.settings.self.id)
+            return member.replica;
+    }
+    return std::nullopt;
+}
+
+// Gives the submission to another entry. A request without an id gets one, so that the other entry
+// can't run it twice whatever the network does.
+void handOff(EntryState &entry, SubmitRequest request, const claims::Replica &owner, Time now,
+             WallTime wallNow, EntryActions &actions)
+{
+    if (request.submission.empty())
+        request.submission = makeSubmissionId(wallNow, entry.random);
+    ++entry.counters.handoffs;
+    const std::string key = keyOf(request.team, request.submission);
+    Pending &pending = addPending(entry, key, request, now + request.timeLeft);
+    pending.state = PendingState::Joined;
+    pending.handedOff = true;
+    pending.owner = owner;
+    pending.sendWait = entry.settings.joinInterval;
+    addWaiter(entry, pending, request.waiter);
+    entry.watched.push_back(key);
+    sendJoin(entry, key, pending, now, actions);
+}
+
 // Joins work of this entry that has the same key. False if there is none.
 bool joinLocal(EntryState &entry, const std::string &key, WaiterId waiter,
                const std::string &digest, EntryActions &actions)
@@ -230,33 +267,39 @@
 
 // [SECTION] Claims
 
-void adopt(EntryState &entry, const std::string &key, Pending &pending, std::int64_t claimedAt,
-           Time now, EntryActions &actions)
+// An agent that control took for dead goes on for a while if it was only cut off.
+bool mayHaveStarted(const EntryState &entry, const KnownAgent &known, const Pending &pending)
+{
+    const Milliseconds span = entry.settings.configurationLease + entry.settings.claims.clockSkew;
+    return known.service == pending.request.service
+            && (known.live || known.lostAt + span.count() >= pending.claimedAt);
+}
+
+void adopt(EntryState &entry, const std::string &key, Pending &pending, Time now,
+           EntryActions &actions)
 {
+    const std::int64_t skew = entry.settings.claims.clockSkew.count();
     pending.state = PendingState::Running;
-    std::vector<dispatch::FenceTarget> targets;
-    for (const KnownAgent &known : entry.agents) {
-        if (known.service != pending.request.service)
-            continue;
-        const bool lost = known.lostAt >= claimedAt;
-        if (known.live)
-            targets.push_back({ known.id, lost });
-        else if (lost)
-            targets.push_back({ known.id, true });
+    dispatch::Takeover takeover;
+    takeover.claimedAt = pending.claimedAt - skew;
+    takeover.hasGaps = entry.agents.since >= takeover.claimedAt;
+    for (const KnownAgent &known : entry.agents.agents) {
+        if (mayHaveStarted(entry, known, pending))
+            takeover.agents.push_back(known.id);
     }
     const dispatch::JobSpec spec = jobSpec(key, pending.request, pending.deadline);
-    carry(entry, dispatch::adoptJob(entry.dispatcher, spec, pending.epoch, targets, now), now,
+    carry(entry, dispatch::adoptJob(entry.dispatcher, spec, pending.epoch, takeover, now), now,
           actions);
 }
 
-void takeGrant(EntryState &entry, const std::string &key, Pending &pending,
-               const claims::AskAnswer &answer, Time now, EntryActions &actions)
+// A takeover asks every agent, so the list of them must be from after the claim was taken over: an
+// agent that joined just before may have worked for the lost owner.
+void awaitAgents(EntryState &entry, const claims::AskAnswer &answer, Pending &pending, Time now)
 {
-    pending.epoch = answer.epoch;
-    if (answer.epoch > 1)
-        adopt(entry, key, pending, answer.claimedAt, now, actions);
-    else
-        runHere(entry, key, pending, now, actions);
+    pending.state = PendingState::Refreshing;
+    pending.grantedAt = now;
+    pending.claimedAt = answer.claimedAt;
+    entry.beatWanted = true;
 }
 
 void takeOwned(EntryState &entry, const std::string &key, Pending &pending,
@@ -277,6 +320,19 @@
     sendJoin(entry, key, pending, now, actions);
 }
 
+void takeGrant(EntryState &entry, const std::string &key, Pending &pending,
+               const claims::AskAnswer &answer, Time now, EntryActions &actions)
+{
+    pending.epoch = answer.epoch;
+    // A grant for what this very life has run already can only come of a fault elsewhere.
+    if (dispatch::findJob(entry.dispatcher, key))
+        return takeOwned(entry, key, pending, answer, now, actions);
+    if (answer.epoch > 1)
+        awaitAgents(entry, answer, pending, now);
+    else
+        runHere(entry, key, pending, now, actions);
+}
+
 dispatch::Answer verdictAnswer(const Pending &pending, claims::Verdict verdict)
 {
     switch (verdict) {
@@ -306,7 +362,8 @@
 // Nobody here waits for this grant any more, so it must end as "not run".
 void giveBackLateGrant(EntryState &entry, const claims::AskAnswer &answer, EntryActions &actions)
 {
-    if (answer.verdict != claims::Verdict::Granted)
+    // What was taken over from a lost owner may have run, so only a first grant can be given back.
+    if (answer.verdict != claims::Verdict::Granted || answer.epoch != 1)
         return;
     std::deque<AbandonedAsk> &asks = entry.abandonedAsks;
     const auto found = std::find_if(asks.begin(), asks.end(), [&](const AbandonedAsk &ask) {
@@ -326,6 +383,9 @@
     const auto found = entry.pending.find(answer.job);
     const bool awaited = found != entry.pending.end() && found->second.state == PendingState::Asking
             && found->second.nonce == answer.nonce;
+    // A late answer to an earlier life of this entry can carry the same nonce.
+    if (answer.verdict == claims::Verdict::Granted && !(answer.owner == entry.settings.self))
+        return;
     if (!awaited)
         return giveBackLateGrant(entry, answer, actions);
     Pending &pending = found->second;
@@ -393,6 +453,7 @@
              EntryActions &actions)
 {
     pending.state = PendingState::Asking;
+    pending.handedOff = false;
     pending.nonce = entry.nextNonce++;
     pending.sendWait = entry.settings.askInterval;
     sendAsk(entry, key, pending, now, actions);
@@ -431,6 +492,12 @@
             && !claims::isMember(entry.claims.view, pending.owner);
     if (ownerLost)
         askAnew(entry, key, pending, now, actions);
+    if (pending.state == PendingState::Refreshing) {
+        const bool refreshed = entry.claims.masterHeardAt > pending.grantedAt;
+        if (refreshed)
+            adopt(entry, key, pending, now, actions);
+        return !refreshed;
+    }
     if (now < pending.nextSend)
         return true;
     if (pending.state == PendingState::Asking)
@@ -455,6 +522,77 @@
     }
 }
 
+// [SECTION] Other entries
+
+SubmitRequest requestOf(const Handoff &handoff)
+{
+    SubmitRequest request;
+    request.team = handoff.team;
+    request.submission = handoff.submission;
+    request.digest = handoff.digest;
+    request.service = handoff.service;
+    request.workClass = handoff.workClass;
+    request.payloads = handoff.payloads;
+    request.declaredTime = handoff.declaredTime;
+    request.timeLeft = handoff.timeLeft;
+    request.repeatable = handoff.repeatable;
+    request.request = handoff.request;
+    return request;
+}
+
+// Work that a peer hands to this entry. It is claimed like any other and never handed on.
+void takeHandoff(EntryState &entry, const Handoff &handoff, Time now, EntryActions &actions)
+{
+    const std::string key = keyOf(handoff.team, handoff.submission);
+    const dispatch::Job *job = dispatch::findJob(entry.dispatcher, key);
+    if (job || entry.pending.count(key) != 0)
+        return handleJoin(entry, { handoff.from, key, false }, actions);
+    if (entry.leaving) {
+        const JoinAnswer leaving { key, Outcome::Unknown, {}, ErrorKind::Leaving, {} };
+        actions.sends.push_back({ handoff.from, EntryMessage(leaving) });
+        return;
+    }
+    const SubmitRequest request = requestOf(handoff);
+    const Time deadline = now + request.timeLeft;
+    const std::optional<Error> refusal = dispatch::refuseJob(entry.dispatcher,
+                                                             jobSpec(key, request, deadline), now);
+    Pending &pending = addPending(entry, key, request, deadline);
+    pending.joinedBy.push_back(handoff.from);
+    if (refusal)
+        pending.refusal = *refusal;
+    startAsking(entry, key, pending, now, actions);
+}
+
+void takeJoinAnswer(EntryState &entry, const JoinAnswer &joined, Time now, EntryActions &actions)
+{
+    const auto found = entry.pending.find(joined.job);
+    if (found == entry.pending.end() || found->second.state != PendingState::Joined)
+        return;
+    Pending &pending = found->second;
+    if (joined.kind == ErrorKind::Leaving && pending.handedOff)
+        return askAnew(entry, joined.job, pending, now, actions);
+    dispatch::Answer answer = makeAnswer(joined.outcome, joined.kind, joined.message);
+    answer.results = joined.results;
+    conclude(entry, joined.job, answer, actions);
+}
+
+// Tells the peers how busy this entry is, and moves a worker if that helps.
+void balance(EntryState &entry, Time now, EntryActions &actions)
+{
+    const auto report = dueReport(entry.placement, entry.dispatcher, entry.leaving, now);
+    if (report) {
+        for (const claims::Member &member : entry.claims.view.members) {
+            if (member.replica.id != entry.settings.self.id)
+                actions.sends.push_back({ member.replica.id, EntryMessage(*report) });
+        }
+    }
+    if (const auto advice = adviseYield(entry.placement, entry.dispatcher, now))
+        carry(entry,
+              dispatch::yieldWorker(entry.dispatcher, advice->service, advice->heir,
+                                    advice->heirDataCentre, advice->heirHasNone),
+              now, actions);
+}
+
 void lookUp(EntryState &entry, WaiterId waiter, const std::string &team,
             const std::string &submission, bool cancelling, Time deadline, Time now,
             EntryActions &actions)
@@ -490,6 +628,11 @@
     entry.settings = settings;
     entry.dispatcher = dispatch::makeDispatcher(settings.dispatch);
     entry.claims = claims::makeClaimTable(settings.claims);
+    entry.placement.settings = settings.placement;
+    entry.placement.settings.self = settings.self.id;
+    entry.placement.settings.dataCentre = settings.dataCentre;
+    entry.nextNonce = settings.self.incarnation << NonceBits;
+    entry.random.seed(hash64(settings.self.id) ^ settings.self.incarnation);
     return entry;
 }
 
@@ -503,23 +646,29 @@
         reply(entry, request.waiter, key, refused(*error), actions);
         return actions;
     }
-    std::optional<Error> refusal = dispatch::refuseJob(entry.dispatcher,
-                                                       jobSpec(key, request,
-                                                               now + request.timeLeft),
-                                                       now);
     if (const std::optional<Error> away = outOfService(entry, request, now)) {
         ++entry.counters.refusals;
         reply(entry, request.waiter, key, refused(*away), actions);
         return actions;
     }
-    if (request.submission.empty()) {
-        submitAnonymous(entry, request, refusal, now, actions);
+    const bool anonymous = request.submission.empty();
+    const bool known = !anonymous
+            && (completeLookUp(entry, key, request, now, actions)
+                || joinLocal(entry, key, request.waiter, request.digest, actions));
+    if (known)
         return actions;
-    }
-    if (completeLookUp(entry, key, request, now, actions))
+    if (const std::optional<claims::Replica> owner = otherOwner(entry, request, now)) {
+        handOff(entry, request, *owner, now, wallNow, actions);
         return actions;
-    if (joinLocal(entry, key, request.waiter, request.digest, actions))
+    }
+    const std::optional<Error> refusal = dispatch::refuseJob(entry.dispatcher,
+                                                             jobSpec(key, request,
+                                                                     now + request.timeLeft),
+                                                             now);
+    if (anonymous) {
+        submitAnonymous(entry, request, refusal, now, actions);
         return actions;
+    }
     Pending &pending = addPending(entry, key, request, now + request.timeLeft);
     if (refusal)
         pending.refusal = *refusal;
@@ -605,15 +754,13 @@
         if (join->cancel)
             carry(entry, dispatch::cancelJob(entry.dispatcher, join->job, now), now, actions);
         handleJoin(entry, *join, actions);
-        return actions;
+    } else if (const auto *answer = std::get_if<JoinAnswer>(&message)) {
+        takeJoinAnswer(entry, *answer, now, actions);
+    } else if (const auto *handoff = std::get_if<Handoff>(&message)) {
+        takeHandoff(entry, *handoff, now, actions);
+    } else if (const auto *report = std::get_if<LoadReport>(&message)) {
+        takeLoadReport(entry.placement, *report, now);
     }
-    const JoinAnswer &joined = std::get<JoinAnswer>(message);
-    const auto found = entry.pending.find(joined.job);
-    if (found == entry.pending.end() || found->second.state != PendingState::Joined)
-        return actions;
-    dispatch::Answer answer = makeAnswer(joined.outcome, joined.kind, joined.message);
-    answer.results = joined.results;
-    conclude(entry, joined.job, answer, actions);
     return actions;
 }
 
@@ -641,6 +788,7 @@
     carry(entry, dispatch::tick(entry.dispatcher, now), now, actions);
     carry(claims::tick(entry.claims, now, wallNow), actions);
     tickWatched(entry, now, actions);
+    balance(entry, now, actions);
     return actions;
 }
 
--- a/packages/entry/src/joining.cpp
+++ b/packages/entry/src/joining.cpp
@@ -96,11 +96,37 @@
     scheduleNext(pending, now, entry.settings.longestAskInterval);
 }
 
+namespace {
+
+Handoff handoffOf(const EntryState &entry, const Pending &pending, Time now)
+{
+    const SubmitRequest &request = pending.request;
+    Handoff handoff;
+    handoff.from = entry.settings.self.id;
+    handoff.team = request.team;
+    handoff.submission = request.submission;
+    handoff.digest = request.digest;
+    handoff.service = request.service;
+    handoff.workClass = request.workClass;
+    handoff.payloads = request.payloads;
+    handoff.declaredTime = request.declaredTime;
+    handoff.timeLeft = pending.deadline - now;
+    handoff.repeatable = request.repeatable;
+    handoff.request = request.request;
+    return handoff;
+}
+
+} // namespace
+
 void sendJoin(EntryState &entry, const std::string &key, Pending &pending, Time now,
               EntryActions &actions)
 {
-    const Join join { entry.settings.self.id, key, pending.cancel };
-    actions.sends.push_back({ pending.owner.id, EntryMessage(join) });
+    if (pending.handedOff && !pending.cancel)
+        actions.sends.push_back({ pending.owner.id, EntryMessage(handoffOf(entry, pending, now)) });
+    else
+        actions.sends.push_back(
+                { pending.owner.id,
+                  EntryMessage(Join { entry.settings.self.id, key, pending.cancel }) });
     scheduleNext(pending, now, entry.settings.longestJoinInterval);
 }
 
--- a/packages/entry/src/joining.h
+++ b/packages/entry/src/joining.h
@@ -26,7 +26,7 @@
 void sendAsk(EntryState &entry, const std::string &key, Pending &pending, Time now,
              EntryActions &actions);
 
-// Asks the owner for the answer, or asks it again.
+// Asks the owner for the answer, or to run the work that was handed to it, or asks it again.
 void sendJoin(EntryState &entry, const std::string &key, Pending &pending, Time now,
               EntryActions &actions);
 
--- /dev/null
+++ b/packages/entry/src/placement.cpp
@@ -0,0 +1,159 @@
+/*
+    Placement of jobs and workers over the entries.
+
+    [SECTION] Reports
+    [SECTION] Jobs
+    [SECTION] Workers
+*/
+#include <foxwing/entry/placement.h>
+
+#include <algorithm>
+
+namespace foxwing::entry {
+
+namespace {
+
+// [SECTION] Reports
+
+bool sameLoads(const LoadReport &left, const LoadReport &right)
+{
+    return left.leaving == right.leaving
+            && std::equal(left.loads.begin(), left.loads.end(), right.loads.begin(),
+                          right.loads.end(), [](const ReportedLoad &a, const ReportedLoad &b) {
+                              return a.service == b.service && a.slots == b.slots
+                                      && a.busy == b.busy && a.waiting == b.waiting;
+                          });
+}
+
+bool believable(const Placement &placement, const PeerLoad &peer, Time now)
+{
+    return !peer.report.leaving && now < peer.heardAt + placement.settings.reportLife;
+}
+
+const ReportedLoad *findLoad(const LoadReport &report, const std::string &service)
+{
+    for (const ReportedLoad &load : report.loads) {
+        if (load.service == service)
+            return &load;
+    }
+    return nullptr;
+}
+
+// [SECTION] Jobs
+
+// How long a job of so many tasks waits, in tasks for each slot; 0 if it can start at once.
+double expectedWait(std::uint32_t slots, std::uint32_t busy, std::uint32_t waiting,
+                    std::uint32_t tasks)
+{
+    constexpr double Never = 1e9;
+    if (slots == 0)
+        return Never;
+    const std::uint32_t wanted = busy + waiting + tasks;
+    return wanted <= slots ? 0 : static_cast<double>(wanted - slots) / slots;
+}
+
+// Handing a job over costs two messages and a little time, so it must be worth it.
+constexpr double WorthHandingOver = 0.05;
+
+} // namespace
+
+void takeLoadReport(Placement &placement, const LoadReport &report, Time now)
+{
+    placement.peers[report.from] = { report, now };
+}
+
+std::string chooseOwner(Placement &placement, const std::string &service,
+                        const dispatch::ServiceLoad &own, std::uint32_t tasks, Time now)
+{
+    const double ownWait = expectedWait(own.slots, own.busy, own.waiting, tasks);
+    const bool local = placement.settings.policy == PlacementPolicy::Local && own.slots > 0;
+    if (ownWait == 0 || local)
+        return placement.settings.self;
+    double bestWait = ownWait - WorthHandingOver;
+    PeerLoad *best = nullptr;
+    for (auto &peer : placement.peers) {
+        const ReportedLoad *load = findLoad(peer.second.report, service);
+        if (!load || !believable(placement, peer.second, now))
+            continue;
+        const double wait = expectedWait(load->slots, load->busy, load->waiting, tasks);
+        if (wait >= bestWait)
+            continue;
+        bestWait = wait;
+        best = &peer.second;
+    }
+    if (!best)
+        return placement.settings.self;
+    for (ReportedLoad &load : best->report.loads) {
+        if (load.service == service)
+            load.waiting += tasks;
+    }
+    return best->report.from;
+}
+
+std::optional<LoadReport> dueReport(Placement &placement, const dispatch::Dispatcher &dispatcher,
+                                    bool leaving, Time now)
+{
+    if (now < placement.nextReport)
+        return std::nullopt;
+    LoadReport report;
+    report.from = placement.settings.self;
+    report.dataCentre = placement.settings.dataCentre;
+    report.leaving = leaving;
+    for (const auto &service : dispatcher.services) {
+        const dispatch::ServiceLoad load = dispatch::serviceLoad(dispatcher, service.first);
+        report.loads.push_back({ service.first, load.slots, load.busy, load.waiting });
+    }
+    if (sameLoads(report, placement.lastSent) && now < placement.nextQuietReport)
+        return std::nullopt;
+    placement.nextReport = now + placement.settings.reportInterval;
+    placement.nextQuietReport = now + placement.settings.quietInterval;
+    placement.lastSent = report;
+    return report;
+}
+
+// [SECTION] Workers
+
+namespace {
+
+// An entry with work and no worker at all must not wait for an idle worker elsewhere.
+bool isStuck(const ReportedLoad &load)
+{
+    return load.slots == 0 && load.waiting > 0;
+}
+
+bool shouldYield(const dispatch::ServiceState &own, const ReportedLoad &peer)
+{
+    const std::uint32_t workers = own.pool.leasedWorkers;
+    if (workers == 0)
+        return false;
+    if (isStuck(peer))
+        return workers > 1 || own.waitingTasks == 0;
+    const std::uint32_t slotsOfOne = own.pool.slots / workers;
+    return peer.slots + 2 * slotsOfOne <= own.pool.slots;
+}
+
+} // namespace
+
+std::optional<YieldAdvice> adviseYield(Placement &placement, const dispatch::Dispatcher &dispatcher,
+                                       Time now)
+{
+    if (now < placement.nextYield)
+        return std::nullopt;
+    for (const auto &peer : placement.peers) {
+        if (!believable(placement, peer.second, now))
+            continue;
+        for (const auto &service : dispatcher.services) {
+            // A peer that has never heard of the service has no slots of it.
+            const ReportedLoad none { service.first, 0, 0, 0 };
+            const ReportedLoad *load = findLoad(peer.second.report, service.first);
+            if (!shouldYield(service.second, load ? *load : none))
+                continue;
+            placement.nextYield = now + placement.settings.yieldInterval;
+            return YieldAdvice { service.first, peer.first, peer.second.report.dataCentre,
+                                 isStuck(load ? *load : none) };
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace foxwing::entry
--- a/packages/journal/src/journal.cpp
+++ b/packages/journal/src/journal.cpp
@@ -158,7 +158,7 @@
     while (const dirent *item = ::readdir(directory)) {
         const std::string name = item->d_name;
         if (name.compare(0, 9, "snapshot-") == 0 && name != kept)
-            ::unlink((folder + "/" + name).c_str());
+            ::unlink(std::string(folder).append("/").append(name).c_str());
     }
     ::closedir(directory);
 }
--- a/packages/node/include/foxwing/node/message.h
+++ b/packages/node/include/foxwing/node/message.h
@@ -18,10 +18,11 @@
 
 using Message = std::variant<
         agent::Start, agent::Void, agent::Cancel, agent::Settle, agent::Fence, agent::LeaseTaken,
-        agent::LeaseOffer, agent::Finished, agent::NotStarted, agent::Started, agent::Alive,
-        agent::Fenced, claims::Ask, claims::AskAnswer, claims::Release, claims::Released,
-        claims::Copy, claims::Copied, claims::ShardPart, claims::ShardPartTaken, claims::ShardsHeld,
-        entry::Join, entry::JoinAnswer, control::Beat, control::Update>;
+        agent::Yield, agent::LeaseOffer, agent::Finished, agent::NotStarted, agent::Started,
+        agent::Alive, agent::Fenced, claims::Ask, claims::AskAnswer, claims::Release,
+        claims::Released, claims::Copy, claims::Copied, claims::ShardPart, claims::ShardPartTaken,
+        claims::ShardsHeld, entry::Join, entry::JoinAnswer, entry::Handoff, entry::LoadReport,
+        control::Beat, control::Update>;
 
 // Whether a message of this type can be held by a narrower variant.
 template<class Narrow, class Held>
@@ -46,10 +47,9 @@
 
 // A message of a narrower variant as one of all.
 template<class Narrow>
-Message widen(Narrow &&message)
+Message widen(Narrow message)
 {
-    return std::visit([](auto &&held) { return Message(std::move(held)); },
-                      std::forward<Narrow>(message));
+    return std::visit([](auto &held) { return Message(std::move(held)); }, message);
 }
 
 } // namespace foxwing::node
--- a/packages/node/src/controlrole.cpp
+++ b/packages/node/src/controlrole.cpp
@@ -31,7 +31,8 @@
     logChange(LogLevel::Info, "journal-open",
               { { "revision", std::to_string(cluster->store.revision) },
                 { "view", std::to_string(cluster->view.number) } });
-    m_state = control::makeControl(m_settings.control, std::move(*cluster), steadyNow());
+    m_state = control::makeControl(m_settings.control, std::move(*cluster), steadyNow(),
+                                   wallClockNow());
     return true;
 }
 
--- a/packages/node/src/entryrole.cpp
+++ b/packages/node/src/entryrole.cpp
@@ -49,8 +49,8 @@
 void EntryRole::carryOut(entry::EntryActions &&actions)
 {
     for (entry::Outgoing &send : actions.sends) {
-        Message message = std::visit([](auto &&held) { return widen(std::move(held)); },
-                                     std::move(send.message));
+        Message message = std::visit([](auto &held) { return widen(std::move(held)); },
+                                     send.message);
         m_post.send(send.to, std::move(message));
     }
     for (const entry::Reply &reply : actions.replies)
@@ -225,10 +225,9 @@
     for (const control::Resource &change : update.changes)
         applyResource(change);
     if (update.hasAgents) {
-        m_agentsVersion = update.agentsVersion;
-        m_state.agents.clear();
+        m_state.agents = { {}, update.agentsSince };
         for (const control::AgentHint &hint : update.agents) {
-            m_state.agents.push_back({ hint.id, hint.service, hint.lostAt, hint.live });
+            m_state.agents.agents.push_back({ hint.id, hint.service, hint.lostAt, hint.live });
             m_post.learnAddress(hint.id, hint.address);
         }
     }
@@ -246,10 +245,6 @@
 
 void EntryRole::fillBeat(control::Beat &beat) const
 {
-    beat.isEntry = true;
-    beat.view = m_state.claims.view.number;
-    beat.viewUpdate = m_state.claims.view.update;
-    beat.agentsVersion = m_agentsVersion;
     beat.readyShards = claims::readyShards(m_state.claims);
 }
 
--- a/packages/node/src/entryrole.h
+++ b/packages/node/src/entryrole.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <foxwing/control/messages.h>
@@ -38,6 +39,8 @@
 
     void beginLeaving() { m_state.leaving = true; }
     bool ready() const;
+    // Whether control should be asked at once. Asking resets it.
+    bool takeBeatWanted() { return std::exchange(m_state.beatWanted, false); }
     bool allClaimsInService() const { return claims::allShardsActive(m_state.claims); }
     bool drained() const;
 
@@ -70,7 +73,6 @@
     PostOffice &m_post;
     std::unordered_map<entry::WaiterId, Caller> m_callers;
     entry::WaiterId m_nextWaiter = 1;
-    std::uint64_t m_agentsVersion = 0;
     metrics::Metrics m_metrics;
 };
 
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -11,9 +11,8 @@
 #include <foxwing/node/node.h>
 
 #include <atomic>
-#include <deque>
-#include <set>
 
+#include <foxwing/control/reporter.h>
 #include <foxwing/edge/httpserver.h>
 #include <foxwing/node/log.h>
 #include <foxwing/node/loop.h>
@@ -94,6 +93,7 @@
         HandingOver,
     };
 
+    control::Beat identity() const;
     void receive(Message &&message);
     void takeFailure(Message &&message);
     void takeUpdate(const control::Update &update);
@@ -115,20 +115,8 @@
     wire::RpcServer m_rpc;
     edge::HttpServer m_http;
 
-    // Beats that are under way, to know when control's answer was asked for.
-    struct SentBeat
-    {
-        std::uint64_t number = 0;
-        Time at {};
-    };
-    std::deque<SentBeat> m_sentBeats;
-    std::uint64_t m_beatNumber = 0;
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_view = 0;
-    std::uint64_t m_viewUpdate = 0;
+    control::Reporter m_reporter;
     Time m_nextBeat {};
-    Time m_confirmedAt {};
-    bool m_confirmed = false;
 
     Stopping m_stopping = Stopping::No;
     Time m_stoppingSince {};
@@ -152,8 +140,23 @@
              })
 { }
 
+control::Beat Node::Impl::identity() const
+{
+    control::Beat beat;
+    beat.id = m_settings.node.id;
+    beat.incarnation = m_incarnation;
+    beat.address = innerAddress(m_settings);
+    beat.dataCentre = m_settings.node.dataCentre;
+    beat.isEntry = m_settings.node.entry;
+    beat.isAgent = m_settings.node.agent;
+    beat.service = m_settings.node.agent ? m_settings.agent.service : std::string();
+    beat.slots = m_settings.node.agent ? m_settings.agent.slots : 0;
+    return beat;
+}
+
 bool Node::Impl::start(Error *reason)
 {
+    m_reporter = control::makeReporter(identity());
     for (const settings::Peer &peer : m_settings.cluster.control)
         m_post.learnAddress(peer.id, peer.address);
     if (m_settings.node.control) {
@@ -209,58 +212,30 @@
 
 void Node::Impl::takeUpdate(const control::Update &update)
 {
-    if (update.incarnation != m_incarnation)
-        return;
-    while (!m_sentBeats.empty() && m_sentBeats.front().number < update.number)
-        m_sentBeats.pop_front();
-    // An update that was asked for by an earlier beat than the last answered one is late.
-    if (m_sentBeats.empty() || m_sentBeats.front().number != update.number)
+    const std::optional<Time> sentAt = control::acceptUpdate(m_reporter, update);
+    if (!sentAt)
         return;
-    const Time sentAt = m_sentBeats.front().at;
-    m_sentBeats.pop_front();
-    if (update.revision < m_revision && !update.reset)
-        return; // control that knows less than this node can't be the one that accepted it
-    m_confirmed = true;
-    m_confirmedAt = sentAt;
     if (m_entry)
-        m_entry->takeUpdate(update, sentAt);
+        m_entry->takeUpdate(update, *sentAt);
     if (m_agent)
         m_agent->takeUpdate(update);
-    m_revision = update.revision;
-    if (update.view.number == 0)
-        return;
-    m_view = update.view.number;
-    m_viewUpdate = update.view.update;
 }
 
 void Node::Impl::sendBeat(Time now)
 {
-    m_nextBeat = now + m_settings.cluster.beatInterval;
-    control::Beat beat;
-    beat.id = m_settings.node.id;
-    beat.incarnation = m_incarnation;
-    beat.address = innerAddress(m_settings);
-    beat.dataCentre = m_settings.node.dataCentre;
-    beat.number = ++m_beatNumber;
-    beat.revision = m_revision;
-    beat.view = m_view;
-    beat.viewUpdate = m_viewUpdate;
-    beat.isAgent = m_agent != nullptr;
-    beat.service = m_agent ? m_settings.agent.service : std::string();
-    beat.slots = m_agent ? m_settings.agent.slots : 0;
+    control::Beat beat = control::nextBeat(m_reporter, now);
     beat.leaving = m_stopping == Stopping::HandingOver;
     if (m_entry)
         m_entry->fillBeat(beat);
-    if (m_entry && !beat.leaving && !m_entry->allClaimsInService())
-        m_nextBeat = now + HurriedBeatInterval;
-    m_sentBeats.push_back({ beat.number, now });
+    const bool hurried = m_entry && !beat.leaving && !m_entry->allClaimsInService();
+    m_nextBeat = now + (hurried ? HurriedBeatInterval : m_settings.cluster.beatInterval);
     for (const settings::Peer &peer : m_settings.cluster.control)
         m_post.send(peer.id, beat);
 }
 
 bool Node::Impl::configurationStale(Time now) const
 {
-    return !m_confirmed || now >= m_confirmedAt + m_settings.entry.configurationLease;
+    return control::isStale(m_reporter, m_settings.entry.configurationLease, now);
 }
 
 void Node::Impl::tick()
@@ -272,7 +247,8 @@
         m_entry->tick();
     if (m_agent)
         m_agent->tick(configurationStale(now));
-    if (now >= m_nextBeat)
+    const bool wanted = m_entry && m_entry->takeBeatWanted();
+    if (now >= m_nextBeat || wanted)
         sendBeat(now);
     if (m_stopping != Stopping::No)
         tickStopping(now);
