Add the load tool and a benchmark of light load

Cause: nothing measured the running system. Change: foxwing load (open loop, rates or a trace, bursts, resubmissions, cancellations; checks that every answer is whole and its own; table, JSON, SVG) and bench/light.sh over real processes; agents learn entries' addresses from views, without which they never offered a lease outside one process.

--- a/apps/foxwing/commandline.h
+++ b/apps/foxwing/commandline.h
@@ -56,6 +56,9 @@
     long from = 0;
     long count = 0;
 
+    // Load
+    std::string plotFile;
+
     // The command and what follows it
     std::vector<std::string> words;
 };
@@ -73,6 +76,7 @@
 int runStatus(const Options &options);
 int runToken(const Options &options);
 int runJournal(const Options &options);
+int runLoad(const Options &options);
 
 // [SECTION] Helpers
 
--- /dev/null
+++ b/apps/foxwing/loadcommand.cpp
@@ -0,0 +1,270 @@
+/*
+    The command load: drives a running system with an experiment and reports what came back.
+
+    [SECTION] Run
+    [SECTION] Measures
+    [SECTION] Command
+*/
+#include "commandline.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdio>
+#include <fstream>
+#include <mutex>
+#include <random>
+#include <thread>
+
+#include <foxwing/base/codec.h>
+#include <foxwing/base/submissionid.h>
+#include <foxwing/load/plan.h>
+#include <foxwing/load/report.h>
+
+namespace foxwing::cli {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// [SECTION] Run
+
+Microseconds since(Clock::time_point start)
+{
+    return std::chrono::duration_cast<Microseconds>(Clock::now() - start);
+}
+
+// One run of an experiment: sends what is planned and checks every answer.
+class LoadRun
+{
+public:
+    LoadRun(const load::Experiment &experiment, std::vector<load::PlannedJob> plan)
+        : m_experiment(experiment)
+        , m_plan(std::move(plan))
+        , m_random(experiment.seed)
+    {
+        edge::HttpClientSettings settings;
+        settings.timeout = Milliseconds(300000);
+        for (const std::string &url : experiment.urls)
+            m_clients.push_back(std::make_unique<edge::HttpClient>(url, settings));
+    }
+
+    load::Summary run()
+    {
+        const Clock::time_point start = Clock::now();
+        for (std::size_t i = 0; i < m_plan.size(); ++i) {
+            std::this_thread::sleep_until(start + m_plan[i].at);
+            submit(i);
+        }
+        std::unique_lock<std::mutex> lock(m_mutex);
+        m_idle.wait_for(lock, m_experiment.drain, [this] { return m_open == 0; });
+        load::Summary summary = load::summarize(m_samples);
+        summary.violations = m_violations;
+        summary.unanswered = m_open;
+        summary.elapsed = std::chrono::duration_cast<Milliseconds>(since(start));
+        return summary;
+    }
+
+private:
+    struct Sent
+    {
+        std::size_t job = 0;
+        std::string id;
+        std::size_t client = 0;
+        Clock::time_point at;
+        bool again = false;
+    };
+
+    // The echo that a task of this submission must bring back.
+    static std::string echoOf(std::size_t job, std::size_t task)
+    {
+        return "job " + std::to_string(job) + " task " + std::to_string(task);
+    }
+
+    std::string bodyOf(std::size_t number, const std::string &id) const
+    {
+        const load::PlannedJob &job = m_plan[number];
+        const load::Mix &mix = m_experiment.mixes[job.mix];
+        Json::Value body(Json::objectValue);
+        body["service"] = mix.service;
+        body["class"] = mix.workClass;
+        body["deadlineMs"] = static_cast<Json::Int64>(mix.deadline.count());
+        body["repeatable"] = mix.repeatable;
+        if (job.declared.count() > 0)
+            body["declaredMs"] = static_cast<Json::Int64>(job.declared.count());
+        if (!id.empty())
+            body["submission"] = id;
+        Json::Value tasks(Json::arrayValue);
+        for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+            Json::Value payload(Json::objectValue);
+            payload["sleepMs"] = static_cast<Json::Int64>(job.tasks[i].count());
+            payload["echo"] = echoOf(number, i);
+            tasks.append(payload);
+        }
+        if (mix.request)
+            body["payload"] = tasks[0];
+        else
+            body["tasks"] = tasks;
+        return writeJson(body);
+    }
+
+    void submit(std::size_t number)
+    {
+        const load::PlannedJob &job = m_plan[number];
+        const load::Mix &mix = m_experiment.mixes[job.mix];
+        const auto wall = std::chrono::time_point_cast<Milliseconds>(
+                std::chrono::system_clock::now());
+        const bool needsId = !mix.request || job.resubmit || job.cancel;
+        const std::string id = needsId ? makeSubmissionId(wall, m_random) : std::string();
+        send({ number, id, number % m_clients.size(), Clock::now(), false });
+        if (job.resubmit)
+            send({ number, id, (number + 1) % m_clients.size(), Clock::now(), true });
+        if (job.cancel)
+            cancel(id, number);
+    }
+
+    void send(const Sent &sent)
+    {
+        const load::Mix &mix = m_experiment.mixes[m_plan[sent.job].mix];
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            ++m_open;
+        }
+        m_clients[sent.client]->call("POST", mix.request ? "/v1/requests" : "/v1/jobs",
+                                     bodyOf(sent.job, sent.id),
+                                     { { "Authorization", "Bearer " + mix.token } },
+                                     [this, sent](edge::HttpReply &&reply) { take(sent, reply); });
+    }
+
+    void cancel(const std::string &id, std::size_t number)
+    {
+        const load::Mix &mix = m_experiment.mixes[m_plan[number].mix];
+        m_clients[number % m_clients.size()]->call("DELETE", "/v1/jobs/" + id, {},
+                                                   { { "Authorization", "Bearer " + mix.token } },
+                                                   [](edge::HttpReply &&) {});
+    }
+
+    void take(const Sent &sent, const edge::HttpReply &reply)
+    {
+        const load::PlannedJob &job = m_plan[sent.job];
+        load::Sample sample;
+        sample.workClass = m_experiment.mixes[job.mix].workClass;
+        sample.response = since(sent.at);
+        sample.ideal = load::idealTime(job);
+        sample.tasks = static_cast<std::uint32_t>(job.tasks.size());
+        Error ignored;
+        const auto json = parseJson(reply.body, &ignored);
+        const std::string outcome = json && json->isObject() ? (*json)["outcome"].asString() : "";
+        sample.outcome = parseOutcome(outcome).value_or(Outcome::Unknown);
+        if (outcome.empty())
+            sample.error = "no answer: status " + std::to_string(reply.status) + " " + reply.reason;
+        else if (sample.outcome != Outcome::Complete)
+            sample.error = (*json)["error"]["kind"].asString();
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (sample.outcome == Outcome::Complete)
+            check(sent, (*json)["results"]);
+        const bool counts = !sent.again && job.at >= m_experiment.warmUp;
+        if (counts)
+            m_samples.push_back(sample);
+        if (--m_open == 0)
+            m_idle.notify_all();
+    }
+
+    void check(const Sent &sent, const Json::Value &results)
+    {
+        const std::size_t tasks = m_plan[sent.job].tasks.size();
+        if (results.size() != tasks) {
+            m_violations.push_back("partial answer to " + sent.id);
+            return;
+        }
+        for (std::size_t i = 0; i < tasks; ++i) {
+            const std::string got = results[static_cast<Json::ArrayIndex>(i)].asString();
+            if (got != echoOf(sent.job, i))
+                m_violations.push_back("foreign answer to " + sent.id + ": " + got);
+        }
+    }
+
+    const load::Experiment &m_experiment;
+    std::vector<load::PlannedJob> m_plan;
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<edge::HttpClient>> m_clients;
+    std::mutex m_mutex;
+    std::condition_variable m_idle;
+    std::size_t m_open = 0;
+    std::vector<load::Sample> m_samples;
+    std::vector<std::string> m_violations;
+};
+
+// [SECTION] Measures
+
+struct Counted
+{
+    double starts = 0;
+    double messages = 0;
+    double wasted = 0;
+};
+
+Counted countMessages(const load::Experiment &experiment)
+{
+    Counted counted;
+    for (const std::string &url : experiment.metricsUrls) {
+        edge::HttpClient client(url, {});
+        auto sums = load::readExposition(client.callAndWait("GET", "/metrics", {}, {}).body);
+        counted.starts += sums["foxwing_agent_starts_total"];
+        counted.messages += sums["foxwing_messages_sent_total"];
+        counted.wasted += sums["foxwing_agent_refusals_total"] + sums["foxwing_agent_voids_total"]
+                + sums["foxwing_verifications_total"] + sums["foxwing_results_foreign_total"]
+                + sums["foxwing_agent_resends_total"];
+    }
+    return counted;
+}
+
+// The median of some direct calls with the first mix's run time, one after the other.
+double measureBaseline(const load::Experiment &experiment)
+{
+    constexpr int Calls = 40;
+    if (experiment.baselineUrl.empty())
+        return 0;
+    edge::HttpClient client(experiment.baselineUrl, {});
+    std::vector<double> spans;
+    const std::string body = "{\"sleepMs\":" + std::to_string(experiment.mixes[0].mean.count())
+            + "}";
+    for (int i = 0; i < Calls; ++i) {
+        const Clock::time_point start = Clock::now();
+        client.callAndWait("POST", "/tasks/baseline/" + std::to_string(i), body, {});
+        spans.push_back(toMilliseconds(since(start)));
+    }
+    std::sort(spans.begin(), spans.end());
+    return load::quantileOf(spans, 0.5);
+}
+
+} // namespace
+
+// [SECTION] Command
+
+int runLoad(const Options &options)
+{
+    if (options.words.size() != 2)
+        return wrongUse("load needs one experiment file");
+    Error reason;
+    const auto experiment = load::readExperiment(options.words[1], &reason);
+    auto plan = experiment ? load::makePlan(*experiment, &reason) : std::nullopt;
+    if (!plan)
+        return wrongUse(reason.message);
+    const double baseline = measureBaseline(*experiment);
+    const Counted before = countMessages(*experiment);
+    load::Summary summary = LoadRun(*experiment, std::move(*plan)).run();
+    const Counted after = countMessages(*experiment);
+    summary.baselineMs = baseline;
+    summary.starts = after.starts - before.starts;
+    summary.messages = after.messages - before.messages;
+    summary.wastedMessages = after.wasted - before.wasted;
+    if (options.json)
+        std::printf("%s\n", writeJson(load::writeSummary(summary)).c_str());
+    else
+        std::printf("%s", load::writeTable(summary).c_str());
+    if (!options.plotFile.empty())
+        std::ofstream(options.plotFile) << load::writePlot(summary);
+    return summary.violations.empty() ? ExitDone : ExitFailed;
+}
+
+} // namespace foxwing::cli
--- a/apps/foxwing/main.cpp
+++ b/apps/foxwing/main.cpp
@@ -31,7 +31,7 @@
     const char *help;
 };
 
-constexpr std::array<Command, 11> Commands { {
+constexpr std::array<Command, 12> Commands { {
         { "submit", runSubmit, "PAYLOAD...          submit a job, one task for each payload" },
         { "request", runRequest, "PAYLOAD             send a single request" },
         { "fetch", runFetch, "SUBMISSION          the answer of an earlier submission" },
@@ -42,6 +42,7 @@
         { "watch", runWatch, "                    print changes as they come" },
         { "status", runStatus, "                    the nodes and what they apply" },
         { "token", runToken, "[TEAM]              make a token and its salted hash" },
+        { "load", runLoad, "EXPERIMENT          drive a running system and report" },
         { "journal", runJournal, "FOLDER              check and print a journal offline" },
 } };
 
@@ -64,6 +65,7 @@
     char *submission = nullptr;
     char *version = nullptr;
     char *requestId = nullptr;
+    char *plotFile = nullptr;
     int insecure = 0;
     int json = 0;
     int repeatable = 0;
@@ -89,6 +91,7 @@
     take(raw.submission, options.submission);
     take(raw.version, options.version);
     take(raw.requestId, options.requestId);
+    take(raw.plotFile, options.plotFile);
     options.insecure = raw.insecure != 0;
     options.json = raw.json != 0;
     options.repeatable = raw.repeatable != 0;
@@ -124,6 +127,7 @@
         { "dry-run", 0, POPT_ARG_NONE, &raw.dryRun, 0, "change nothing", nullptr },
         { "from", 0, POPT_ARG_LONG, &options.from, 0, "watch after this revision", "REVISION" },
         { "count", 0, POPT_ARG_LONG, &options.count, 0, "end the watch after N changes", "N" },
+        { "plot", 0, POPT_ARG_STRING, &raw.plotFile, 0, "draw the load's result", "SVGFILE" },
         { "version", 'V', POPT_ARG_NONE, &raw.showVersion, 0, "print the version", nullptr },
         { "help", 'h', POPT_ARG_NONE, &raw.help, 0, "show this", nullptr },
         POPT_TABLEEND
--- /dev/null
+++ b/packages/load/src/experiment.cpp
@@ -0,0 +1,108 @@
+/*
+    Reading experiments.
+
+    [SECTION] Mixes
+    [SECTION] Function
+*/
+#include <foxwing/load/experiment.h>
+
+#include <fstream>
+#include <sstream>
+
+#include <foxwing/settings/tomlreader.h>
+
+namespace foxwing::load {
+
+namespace {
+
+// [SECTION] Mixes
+
+constexpr double MostRate = 1e6;
+
+void readSpread(settings::TomlReader &table, Spread &spread)
+{
+    std::string name = "fixed";
+    table.text("spread", name);
+    if (name == "fixed")
+        spread = Spread::Fixed;
+    else if (name == "uniform")
+        spread = Spread::Uniform;
+    else if (name == "lognormal")
+        spread = Spread::LogNormal;
+    else if (name == "bimodal")
+        spread = Spread::Bimodal;
+    else
+        table.refuse("spread", "must be fixed, uniform, lognormal or bimodal");
+}
+
+Mix readMix(settings::TomlReader &table)
+{
+    Mix mix;
+    table.text("class", mix.workClass);
+    table.text("service", mix.service);
+    table.text("token", mix.token);
+    table.number("rate", mix.rate, 0.001, MostRate);
+    table.whole("fewest_tasks", mix.fewestTasks, 1, 10000);
+    mix.mostTasks = mix.fewestTasks;
+    table.whole("most_tasks", mix.mostTasks, mix.fewestTasks, 10000);
+    table.span("mean", mix.mean);
+    readSpread(table, mix.spread);
+    table.number("declared_wrong", mix.declaredWrong, 0, 100);
+    table.span("deadline", mix.deadline);
+    table.flag("request", mix.request);
+    table.flag("repeatable", mix.repeatable);
+    if (mix.service.empty() || mix.token.empty())
+        table.refuse("service", "and \"token\" must be set for each mix");
+    if (mix.request && mix.mostTasks > 1)
+        table.refuse("request", "has one task; leave \"fewest_tasks\" and \"most_tasks\" out");
+    table.finish();
+    return mix;
+}
+
+} // namespace
+
+// [SECTION] Function
+
+std::optional<Experiment> readExperiment(const std::string &path, Error *reason)
+{
+    *reason = Error {};
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file)
+        return fail(reason, ErrorKind::NotFound, path + ": can't be read; name an existing file");
+    toml::table document;
+    try {
+        document = toml::parse(text.str(), path);
+    } catch (const toml::parse_error &error) {
+        return fail(reason, ErrorKind::BadRequest,
+                    path + ":" + std::to_string(error.source().begin.line) + ": "
+                            + std::string(error.description()) + "; mend the TOML text");
+    }
+    Experiment experiment;
+    settings::TomlReader root(std::move(document), path, {}, reason);
+    root.list("urls", experiment.urls);
+    root.list("metrics_urls", experiment.metricsUrls);
+    root.text("baseline_url", experiment.baselineUrl);
+    root.whole("seed", experiment.seed, 0, INT64_MAX);
+    root.span("duration", experiment.duration);
+    root.span("warm_up", experiment.warmUp);
+    root.span("burst_every", experiment.burstEvery);
+    root.span("burst_length", experiment.burstLength);
+    root.number("burst_factor", experiment.burstFactor, 0, 1000);
+    root.number("resubmit_share", experiment.resubmitShare, 0, 1);
+    root.number("cancel_share", experiment.cancelShare, 0, 1);
+    root.span("drain", experiment.drain);
+    root.text("trace", experiment.traceFile);
+    for (settings::TomlReader &table : root.tables("mix"))
+        experiment.mixes.push_back(readMix(table));
+    if (experiment.urls.empty())
+        root.refuse("urls", "must name at least one entry");
+    if (experiment.mixes.empty())
+        root.refuse("mix", "must be there at least once, as [[mix]]");
+    if (!root.finish())
+        return std::nullopt;
+    return experiment;
+}
+
+} // namespace foxwing::load
--- a/packages/node/src/entryrole.cpp
+++ b/packages/node/src/entryrole.cpp
@@ -233,8 +233,6 @@
     }
     if (update.view.number == 0)
         return;
-    for (const claims::Member &member : update.view.members)
-        m_post.learnAddress(member.replica.id, member.address);
     const std::uint64_t before = m_state.claims.view.number;
     carryOut(entry::setView(m_state, update.view, steadyNow(), wallClockNow()));
     if (m_state.claims.view.number != before)
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -215,6 +215,8 @@
     const std::optional<Time> sentAt = control::acceptUpdate(m_reporter, update);
     if (!sentAt)
         return;
+    for (const claims::Member &member : update.view.members)
+        m_post.learnAddress(member.replica.id, member.address);
     if (m_entry)
         m_entry->takeUpdate(update, *sentAt);
     if (m_agent)
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -12,7 +12,7 @@
 #include <set>
 #include <sstream>
 
-#include "tomlreader.h"
+#include <foxwing/settings/tomlreader.h>
 
 namespace foxwing::settings {
 
--- a/packages/settings/src/tomlreader.cpp
+++ b/packages/settings/src/tomlreader.cpp
@@ -5,7 +5,7 @@
     [SECTION] Tables
     [SECTION] Errors
 */
-#include "tomlreader.h"
+#include <foxwing/settings/tomlreader.h>
 
 #include <algorithm>
 #include <array>
