Add the agreement group: Raft with pre-vote, confirmed reads, learners and readmission

Cause: control was one host; one disk could lose what was accepted. Change: packages/quorum, sans-IO; nothing leaves before what it depends on is synced; a host that lost its disk neither votes nor counts until a leader admits it as a learner; even groups are refused but for the step of a replacement.

--- a/apps/foxwing/commandline.h
+++ b/apps/foxwing/commandline.h
@@ -58,6 +58,7 @@
 
     // Load
     std::string plotFile;
+    std::string outcomesFile;
 
     // The command and what follows it
     std::vector<std::string> words;
--- a/apps/foxwing/loadcommand.cpp
+++ b/apps/foxwing/loadcommand.cpp
@@ -64,6 +64,8 @@
         return summary;
     }
 
+    const std::string &outcomes() const { return m_outcomes; }
+
 private:
     struct Sent
     {
@@ -159,7 +161,11 @@
             sample.error = "no answer: status " + std::to_string(reply.status) + " " + reply.reason;
         else if (sample.outcome != Outcome::Complete)
             sample.error = (*json)["error"]["kind"].asString();
+        const std::string kind = json && json->isObject() ? (*json)["error"]["kind"].asString()
+                                                          : "";
         const std::lock_guard<std::mutex> lock(m_mutex);
+        if (!sent.id.empty() && !outcome.empty())
+            m_outcomes += sent.id + "," + outcome + "," + kind + "\n";
         if (sample.outcome == Outcome::Complete)
             check(sent, (*json)["results"]);
         const bool counts = !sent.again && job.at >= m_experiment.warmUp;
@@ -192,6 +198,9 @@
     std::size_t m_open = 0;
     std::vector<load::Sample> m_samples;
     std::vector<std::string> m_violations;
+
+    // "submission,outcome,kind" for each reply to a submission with an id
+    std::string m_outcomes;
 };
 
 // [SECTION] Measures
@@ -252,7 +261,8 @@
         return wrongUse(reason.message);
     const double baseline = measureBaseline(*experiment);
     const Counted before = countMessages(*experiment);
-    load::Summary summary = LoadRun(*experiment, std::move(*plan)).run();
+    LoadRun run(*experiment, std::move(*plan));
+    load::Summary summary = run.run();
     const Counted after = countMessages(*experiment);
     summary.baselineMs = baseline;
     summary.starts = after.starts - before.starts;
@@ -264,6 +274,8 @@
         std::printf("%s", load::writeTable(summary).c_str());
     if (!options.plotFile.empty())
         std::ofstream(options.plotFile) << load::writePlot(summary);
+    if (!options.outcomesFile.empty())
+        std::ofstream(options.outcomesFile) << run.outcomes();
     return summary.violations.empty() ? ExitDone : ExitFailed;
 }
 
--- a/apps/foxwing/main.cpp
+++ b/apps/foxwing/main.cpp
@@ -66,6 +66,7 @@
     char *version = nullptr;
     char *requestId = nullptr;
     char *plotFile = nullptr;
+    char *outcomesFile = nullptr;
     int insecure = 0;
     int json = 0;
     int repeatable = 0;
@@ -92,6 +93,7 @@
     take(raw.version, options.version);
     take(raw.requestId, options.requestId);
     take(raw.plotFile, options.plotFile);
+    take(raw.outcomesFile, options.outcomesFile);
     options.insecure = raw.insecure != 0;
     options.json = raw.json != 0;
     options.repeatable = raw.repeatable != 0;
@@ -128,6 +130,8 @@
         { "from", 0, POPT_ARG_LONG, &options.from, 0, "watch after this revision", "REVISION" },
         { "count", 0, POPT_ARG_LONG, &options.count, 0, "end the watch after N changes", "N" },
         { "plot", 0, POPT_ARG_STRING, &raw.plotFile, 0, "draw the load's result", "SVGFILE" },
+        { "outcomes", 0, POPT_ARG_STRING, &raw.outcomesFile, 0, "write each submission's outcome",
+          "FILE" },
         { "version", 'V', POPT_ARG_NONE, &raw.showVersion, 0, "print the version", nullptr },
         { "help", 'h', POPT_ARG_NONE, &raw.help, 0, "show this", nullptr },
         POPT_TABLEEND
--- /dev/null
+++ b/bench/faults.sh
@@ -0,0 +1,76 @@
+#!/usr/bin/env bash
+# Faults over real processes: kills (-9), stops and continues entries, agents and control while load
+# with resubmissions and cancellations runs, then holds what callers were told against what the
+# endpoints saw. Exit code 1 if any promise was broken.
+#
+#   bench/faults.sh [SECONDS] [SEED] [CONTROL HOSTS]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source bench/cluster.sh
+trap cluster_stop EXIT
+seconds=${1:-40}
+RANDOM=${2:-1}
+dir=$(mktemp -d)/cluster
+cluster_start "$dir" 3 6 8 0ms "${3:-1}"
+cluster_declare
+{
+    echo "urls = $(cluster_urls)"
+    echo "metrics_urls = $(cluster_metrics_urls)"
+    cat <<TOML
+duration = "${seconds}s"
+resubmit_share = 0.2
+cancel_share = 0.05
+drain = "40s"
+[[mix]]
+class = "jobs"
+service = "svc"
+token = "a.secret"
+rate = 20.0
+fewest_tasks = 1
+most_tasks = 6
+mean = "150ms"
+spread = "lognormal"
+deadline = "15s"
+[[mix]]
+class = "holds"
+service = "svc"
+token = "b.secret"
+rate = 20.0
+mean = "60ms"
+request = true
+deadline = "10s"
+TOML
+} >"$dir/load.toml"
+build/apps/foxwing load --outcomes "$dir/outcomes.csv" "$dir/load.toml" >"$dir/report.txt" &
+load=$!
+
+victims=(entry0 entry1 entry2 agent0 agent1 agent2 agent3 agent4 agent5 control0)
+killed=0 stopped=0
+end=$(($(date +%s) + seconds - 5))
+while [ "$(date +%s)" -lt "$end" ]; do
+    sleep "$((1 + RANDOM % 2)).$((RANDOM % 10))"
+    name=${victims[$((RANDOM % ${#victims[@]}))]}
+    if [ $((RANDOM % 2)) = 0 ]; then
+        kill -9 "$(cluster_pid "$name")" 2>/dev/null || true
+        killed=$((killed + 1))
+        sleep "0.$((RANDOM % 9))"
+        cluster_run "$name"
+    else
+        pid=$(cluster_pid "$name")
+        kill -STOP "$pid" 2>/dev/null || true
+        stopped=$((stopped + 1))
+        (sleep "$((1 + RANDOM % 5))"; kill -CONT "$pid" 2>/dev/null) &
+    fi
+done
+wait $load || true
+cat "$dir/report.txt"
+
+for i in $(seq 0 5); do curl -fs "http://127.0.0.1:$((7600 + i))/starts"; done >"$dir/starts.txt"
+# A start is /tasks/TEAM/SUBMISSION/TASK/ATTEMPT COUNT; attempts of one task count together.
+doubled=$(awk '{split($1, p, "/"); n[p[3] "/" p[4] "/" p[5]] += $2} END {for (k in n) if (n[k] > 1) print k, n[k]}' "$dir/starts.txt")
+false_not_run=$(awk -F, 'NR == FNR {if ($2 == "not run" && $3 != "conflict" && $3 != "not-found") said[$1] = 1; next}
+    {split($0, p, "/"); if (p[4] in said) print p[4]}' "$dir/outcomes.csv" "$dir/starts.txt" | sort -u)
+echo "killed $killed, stopped $stopped; starts seen by endpoints: $(awk '{n += $2} END {print n}' "$dir/starts.txt")"
+echo "started twice: $(printf '%s' "$doubled" | grep -c . || true); false \"not run\": $(printf '%s' "$false_not_run" | grep -c . || true)"
+printf '%s\n%s\n' "$doubled" "$false_not_run" | grep . && exit 1
+grep -q 'wrong answers 0' "$dir/report.txt"
--- a/packages/base/include/foxwing/base/guards.h
+++ b/packages/base/include/foxwing/base/guards.h
@@ -18,6 +18,9 @@
     Incarnation,
     Claim,
     Void,
+    Sync,
+    QuorumCheck,
+    CatchUp,
 };
 
 #ifdef FOXWING_BROKEN_GUARD
--- a/packages/entry/include/foxwing/entry/entry.h
+++ b/packages/entry/include/foxwing/entry/entry.h
@@ -260,6 +260,9 @@
 // Whether the entry may take new work: control was heard from, and all claims are in service.
 bool ready(const EntryState &entry, Time now);
 
+// Whether control was heard from recently enough for the configuration to be believed.
+bool configured(const EntryState &entry, Time now);
+
 // Whether nothing is left to finish or to answer.
 bool drained(const EntryState &entry);
 
--- a/packages/entry/src/entry.cpp
+++ b/packages/entry/src/entry.cpp
@@ -61,12 +61,6 @@
     return answer;
 }
 
-bool heardFromControl(const EntryState &entry, Time now)
-{
-    return entry.claims.masterHeard
-            && now < entry.claims.masterHeardAt + entry.settings.configurationLease;
-}
-
 // Why this entry can take nothing at present. An id may be running elsewhere, so only work without
 // one is certain not to run; the same id is welcome at any other entry.
 std::optional<Error> outOfService(const EntryState &entry, const SubmitRequest &request, Time now)
@@ -75,7 +69,7 @@
     if (entry.leaving)
         return Error { ErrorKind::Leaving, "this entry is stopping; send the same to another one",
                        outcome, Milliseconds { 100 } };
-    if (!heardFromControl(entry, now))
+    if (!configured(entry, now))
         return Error {
             ErrorKind::NotReady,
             "this entry could not confirm its configuration; send the same to another one", outcome,
@@ -792,9 +786,15 @@
     return actions;
 }
 
+bool configured(const EntryState &entry, Time now)
+{
+    return entry.claims.masterHeard
+            && now < entry.claims.masterHeardAt + entry.settings.configurationLease;
+}
+
 bool ready(const EntryState &entry, Time now)
 {
-    return !entry.leaving && heardFromControl(entry, now) && claims::allShardsActive(entry.claims);
+    return !entry.leaving && configured(entry, now) && claims::allShardsActive(entry.claims);
 }
 
 bool drained(const EntryState &entry)
--- a/packages/node/src/entryrole.cpp
+++ b/packages/node/src/entryrole.cpp
@@ -127,6 +127,15 @@
             && (path[1] == "jobs" || path[1] == "requests");
     if (!ours)
         return false;
+    // Without a configuration nobody's token is known, and nothing can be said of earlier work.
+    if (!entry::configured(m_state, steadyNow())) {
+        replyError(responder,
+                   Error { ErrorKind::NotReady,
+                           "this entry could not confirm its configuration; send the "
+                           "same to another one",
+                           Outcome::Unknown, Milliseconds { 1000 } });
+        return true;
+    }
     Error reason;
     const auto team = entry::authenticate(m_state.directory, request.token, &reason);
     const bool posts = request.method == "POST" && path.size() == 2;
--- /dev/null
+++ b/packages/quorum/src/log.cpp
@@ -0,0 +1,140 @@
+/*
+    The log and the disk.
+
+    [SECTION] Reading
+    [SECTION] Writing
+    [SECTION] Commit
+*/
+#include "internal.h"
+
+#include <algorithm>
+
+#include <foxwing/base/guards.h>
+
+namespace foxwing::quorum {
+
+// [SECTION] Reading
+
+std::uint64_t lastIndex(const QuorumState &quorum)
+{
+    return quorum.snapshot.index + quorum.log.size();
+}
+
+std::uint64_t lastTerm(const QuorumState &quorum)
+{
+    return quorum.log.empty() ? quorum.snapshot.term : quorum.log.back().term;
+}
+
+const LogEntry *entryAt(const QuorumState &quorum, std::uint64_t index)
+{
+    if (index <= quorum.snapshot.index || index > lastIndex(quorum))
+        return nullptr;
+    return &quorum.log[index - quorum.snapshot.index - 1];
+}
+
+std::uint64_t termAt(const QuorumState &quorum, std::uint64_t index)
+{
+    if (index == quorum.snapshot.index)
+        return quorum.snapshot.term;
+    const LogEntry *entry = entryAt(quorum, index);
+    return entry ? entry->term : 0;
+}
+
+// [SECTION] Writing
+
+void writeRecord(QuorumState &quorum, Record record, QuorumActions &actions)
+{
+    actions.records.push_back(std::move(record));
+    actions.syncNumber = ++quorum.handedOut;
+    quorum.marks.push_back({ quorum.handedOut, lastIndex(quorum), lastTerm(quorum) });
+}
+
+void putEntry(QuorumState &quorum, const LogEntry &entry, QuorumActions &actions)
+{
+    const bool cuts = entry.index <= lastIndex(quorum);
+    while (lastIndex(quorum) >= entry.index)
+        quorum.log.pop_back();
+    quorum.log.push_back(entry);
+    quorum.syncedIndex = std::min(quorum.syncedIndex, entry.index - 1);
+    // A cut may take back a change of members.
+    if (cuts || entry.kind == EntryKind::Members)
+        refreshMembers(quorum);
+    writeRecord(quorum, EntryRecord { entry }, actions);
+}
+
+void setVote(QuorumState &quorum, std::uint64_t term, const std::string &votedFor,
+             QuorumActions &actions)
+{
+    if (term == quorum.term && votedFor == quorum.votedFor)
+        return;
+    quorum.term = term;
+    quorum.votedFor = votedFor;
+    writeRecord(quorum, VoteRecord { term, votedFor, quorum.joined }, actions);
+}
+
+void sendAfterSync(QuorumState &quorum, const std::string &to, QuorumMessage message,
+                   QuorumActions &actions)
+{
+    Outgoing send { to, std::move(message) };
+    if (quorum.syncedUpTo >= quorum.handedOut || !holds(Guard::Sync))
+        actions.sends.push_back(std::move(send));
+    else
+        quorum.held.push_back({ quorum.handedOut, std::move(send) });
+}
+
+QuorumActions synced(QuorumState &quorum, std::uint64_t syncNumber, Time now)
+{
+    (void)now;
+    QuorumActions actions;
+    quorum.syncedUpTo = std::max(quorum.syncedUpTo, syncNumber);
+    while (!quorum.marks.empty() && quorum.marks.front().syncNumber <= quorum.syncedUpTo) {
+        const QuorumState::Mark mark = quorum.marks.front();
+        quorum.marks.pop_front();
+        // The entry may have been replaced meanwhile; then a later mark stands for the new one.
+        if (termAt(quorum, mark.index) == mark.term)
+            quorum.syncedIndex = std::max(quorum.syncedIndex, mark.index);
+    }
+    while (!quorum.held.empty() && quorum.held.front().syncNumber <= quorum.syncedUpTo) {
+        actions.sends.push_back(std::move(quorum.held.front().send));
+        quorum.held.pop_front();
+    }
+    if (quorum.role == Role::Leader)
+        advanceCommit(quorum, actions);
+    return actions;
+}
+
+// [SECTION] Commit
+
+void commitUpTo(QuorumState &quorum, std::uint64_t index, QuorumActions &actions)
+{
+    quorum.commit = std::max(quorum.commit, std::min(index, lastIndex(quorum)));
+    while (quorum.applied < quorum.commit) {
+        const LogEntry *entry = entryAt(quorum, quorum.applied + 1);
+        if (!entry)
+            return;
+        ++quorum.applied;
+        actions.committed.push_back(*entry);
+    }
+}
+
+QuorumActions compact(QuorumState &quorum, std::string state)
+{
+    QuorumActions actions;
+    if (quorum.applied <= quorum.snapshot.index)
+        return actions;
+    SnapshotRecord snapshot;
+    snapshot.index = quorum.applied;
+    snapshot.term = termAt(quorum, quorum.applied);
+    snapshot.state = std::move(state);
+    snapshot.members = quorum.snapshot.members;
+    while (!quorum.log.empty() && quorum.log.front().index <= snapshot.index) {
+        if (quorum.log.front().kind == EntryKind::Members)
+            snapshot.members = quorum.log.front().members;
+        quorum.log.pop_front();
+    }
+    quorum.snapshot = std::move(snapshot);
+    writeRecord(quorum, quorum.snapshot, actions);
+    return actions;
+}
+
+} // namespace foxwing::quorum
--- /dev/null
+++ b/packages/quorum/src/members.cpp
@@ -0,0 +1,111 @@
+/*
+    Who belongs to the group.
+
+    [SECTION] Present members
+    [SECTION] Changes
+*/
+#include "internal.h"
+
+#include <algorithm>
+
+namespace foxwing::quorum {
+
+// [SECTION] Present members
+
+bool isVoter(const QuorumState &quorum, const std::string &id)
+{
+    const std::vector<std::string> &voters = quorum.members.voters;
+    return std::find(voters.begin(), voters.end(), id) != voters.end();
+}
+
+void refreshMembers(QuorumState &quorum)
+{
+    quorum.members = quorum.snapshot.members;
+    quorum.membersIndex = quorum.snapshot.index;
+    for (const LogEntry &entry : quorum.log) {
+        if (entry.kind != EntryKind::Members)
+            continue;
+        quorum.members = entry.members;
+        quorum.membersIndex = entry.index;
+    }
+    if (quorum.members.voters.empty() && lastIndex(quorum) == 0)
+        quorum.members.voters = quorum.settings.firstVoters;
+}
+
+// [SECTION] Changes
+
+namespace {
+
+bool contains(const std::vector<std::string> &list, const std::string &id)
+{
+    return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+std::vector<std::string> missingFrom(const std::vector<std::string> &list,
+                                     const std::vector<std::string> &other)
+{
+    std::vector<std::string> missing;
+    for (const std::string &id : list) {
+        if (!contains(other, id))
+            missing.push_back(id);
+    }
+    return missing;
+}
+
+bool refuse(Error *reason, const std::string &message)
+{
+    fail(reason, ErrorKind::Conflict, message);
+    return false;
+}
+
+bool caughtUp(const QuorumState &quorum, const std::string &id)
+{
+    const auto peer = quorum.peers.find(id);
+    return contains(quorum.members.learners, id) && peer != quorum.peers.end()
+            && peer->second.counts && peer->second.match >= quorum.commit;
+}
+
+bool mayChange(const QuorumState &quorum, const Members &wanted, Error *reason)
+{
+    const auto added = missingFrom(wanted.voters, quorum.members.voters);
+    const auto removed = missingFrom(quorum.members.voters, wanted.voters);
+    if (quorum.role != Role::Leader)
+        return refuse(reason, "this host does not lead the group; ask the leader");
+    if (quorum.membersIndex > quorum.commit || quorum.commit < quorum.termStart)
+        return refuse(reason, "the last change of members is not committed yet; try again soon");
+    if (wanted.voters.empty())
+        return refuse(reason, "a group needs at least one voter");
+    if (added.size() + removed.size() > 1)
+        return refuse(reason, "only one voter can be added or removed at a time");
+    if (!added.empty() && !caughtUp(quorum, added[0]))
+        return refuse(reason, added[0] + " has not caught up; add it as a learner, and wait");
+    // From an odd number to an even one only on the way of a replacement: a learner has become the
+    // additional voter, and the next change removes another.
+    const bool even = wanted.voters.size() % 2 == 0;
+    if (even && added.empty())
+        return refuse(reason,
+                      "an even number of voters tolerates no more failures than one fewer, and "
+                      "needs one more for a quorum; add a replacement before you remove a voter");
+    return true;
+}
+
+} // namespace
+
+std::optional<QuorumActions> proposeMembers(QuorumState &quorum, const Members &members, Time now,
+                                            Error *reason)
+{
+    if (!mayChange(quorum, members, reason))
+        return std::nullopt;
+    QuorumActions actions;
+    LogEntry entry;
+    entry.index = lastIndex(quorum) + 1;
+    entry.term = quorum.term;
+    entry.kind = EntryKind::Members;
+    entry.members = members;
+    putEntry(quorum, entry, actions);
+    replicateAll(quorum, false, now, actions);
+    advanceCommit(quorum, actions);
+    return actions;
+}
+
+} // namespace foxwing::quorum
--- /dev/null
+++ b/packages/quorum/src/replication.cpp
@@ -0,0 +1,289 @@
+/*
+    The leader's log at the other hosts.
+
+    [SECTION] Sending
+    [SECTION] Receiving
+    [SECTION] Replies
+    [SECTION] Time
+*/
+#include "internal.h"
+
+#include <algorithm>
+
+#include <foxwing/base/guards.h>
+
+namespace foxwing::quorum {
+
+// [SECTION] Sending
+
+namespace {
+
+// A message that may be lost is sent again after this many heartbeats.
+constexpr int ResendHeartbeats = 2;
+
+void sendSnapshot(QuorumState &quorum, const std::string &to, QuorumActions &actions)
+{
+    InstallSnapshot install;
+    install.from = quorum.settings.self;
+    install.term = quorum.term;
+    install.round = quorum.round;
+    install.snapshot = quorum.snapshot;
+    sendAfterSync(quorum, to, std::move(install), actions);
+}
+
+void sendEntries(QuorumState &quorum, const std::string &to, const Peer &peer,
+                 QuorumActions &actions)
+{
+    Append append;
+    append.from = quorum.settings.self;
+    append.term = quorum.term;
+    append.previousIndex = peer.next - 1;
+    append.previousTerm = termAt(quorum, append.previousIndex);
+    append.commit = quorum.commit;
+    append.round = quorum.round;
+    const std::vector<std::string> &learners = quorum.members.learners;
+    append.asLearner = std::find(learners.begin(), learners.end(), to) != learners.end();
+    for (std::uint64_t index = peer.next; index <= lastIndex(quorum); ++index) {
+        if (append.entries.size() == quorum.settings.mostEntries)
+            break;
+        append.entries.push_back(*entryAt(quorum, index));
+    }
+    // Entries may go out before the leader itself has them on disk: it counts itself only after.
+    actions.sends.push_back({ to, std::move(append) });
+}
+
+void replicate(QuorumState &quorum, const std::string &to, bool heartbeat, Time now,
+               QuorumActions &actions)
+{
+    Peer &peer = quorum.peers[to];
+    const bool lacks = peer.next <= lastIndex(quorum);
+    const bool overdue = now >= peer.sentAt + ResendHeartbeats * quorum.settings.heartbeatInterval;
+    if (!heartbeat && (!lacks || (peer.waiting && !overdue)))
+        return;
+    peer.sentAt = now;
+    peer.waiting = lacks;
+    if (peer.next <= quorum.snapshot.index)
+        sendSnapshot(quorum, to, actions);
+    else
+        sendEntries(quorum, to, peer, actions);
+}
+
+std::vector<std::string> others(const QuorumState &quorum)
+{
+    std::vector<std::string> ids = quorum.members.voters;
+    ids.insert(ids.end(), quorum.members.learners.begin(), quorum.members.learners.end());
+    ids.erase(std::remove(ids.begin(), ids.end(), quorum.settings.self), ids.end());
+    return ids;
+}
+
+} // namespace
+
+void replicateAll(QuorumState &quorum, bool heartbeat, Time now, QuorumActions &actions)
+{
+    for (const std::string &id : others(quorum))
+        replicate(quorum, id, heartbeat, now, actions);
+}
+
+void startLeading(QuorumState &quorum, Time now, QuorumActions &actions)
+{
+    quorum.role = Role::Leader;
+    quorum.leader = quorum.settings.self;
+    quorum.peers.clear();
+    quorum.votes.clear();
+    for (const std::string &id : others(quorum)) {
+        quorum.peers[id].next = lastIndex(quorum) + 1;
+        quorum.peers[id].heardAt = now;
+    }
+    LogEntry entry;
+    entry.index = lastIndex(quorum) + 1;
+    entry.term = quorum.term;
+    entry.kind = EntryKind::Empty;
+    // The first entry of all says who the group is.
+    if (entry.index == 1) {
+        entry.kind = EntryKind::Members;
+        entry.members = quorum.members;
+    }
+    quorum.termStart = entry.index;
+    putEntry(quorum, entry, actions);
+    ++quorum.round;
+    quorum.nextHeartbeat = now + quorum.settings.heartbeatInterval;
+    replicateAll(quorum, true, now, actions);
+    advanceCommit(quorum, actions);
+}
+
+// [SECTION] Receiving
+
+namespace {
+
+// Entries that are not here yet, or that differ; the first difference ends what was here.
+void takeEntries(QuorumState &quorum, const Append &append, QuorumActions &actions)
+{
+    for (const LogEntry &entry : append.entries) {
+        if (entry.index <= quorum.snapshot.index || termAt(quorum, entry.index) == entry.term)
+            continue;
+        putEntry(quorum, entry, actions);
+    }
+}
+
+AppendReply makeReply(const QuorumState &quorum, std::uint64_t round)
+{
+    AppendReply reply;
+    reply.from = quorum.settings.self;
+    reply.term = quorum.term;
+    reply.round = round;
+    reply.counts = quorum.joined;
+    return reply;
+}
+
+// False if the message is from a deposed leader, who is told so.
+bool acceptLeader(QuorumState &quorum, const std::string &from, std::uint64_t term,
+                  std::uint64_t round, Time now, QuorumActions &actions)
+{
+    if (term < quorum.term) {
+        sendAfterSync(quorum, from, makeReply(quorum, round), actions);
+        return false;
+    }
+    becomeFollower(quorum, term, from, now, actions);
+    quorum.leaderHeardAt = now;
+    return true;
+}
+
+} // namespace
+
+void handleAppend(QuorumState &quorum, const Append &append, Time now, QuorumActions &actions)
+{
+    if (!acceptLeader(quorum, append.from, append.term, append.round, now, actions))
+        return;
+    if (append.asLearner && !quorum.joined) {
+        quorum.joined = true;
+        writeRecord(quorum, VoteRecord { quorum.term, quorum.votedFor, true }, actions);
+    }
+    AppendReply reply = makeReply(quorum, append.round);
+    const bool known = append.previousIndex <= quorum.snapshot.index
+            || termAt(quorum, append.previousIndex) == append.previousTerm;
+    if (!known) {
+        reply.index = std::min(append.previousIndex - 1, lastIndex(quorum));
+        reply.index = std::max(reply.index, quorum.commit);
+        return sendAfterSync(quorum, append.from, reply, actions);
+    }
+    takeEntries(quorum, append, actions);
+    reply.matches = true;
+    reply.index = std::max(append.previousIndex + append.entries.size(), quorum.snapshot.index);
+    commitUpTo(quorum, std::min(append.commit, reply.index), actions);
+    sendAfterSync(quorum, append.from, reply, actions);
+}
+
+void handleInstall(QuorumState &quorum, const InstallSnapshot &install, Time now,
+                   QuorumActions &actions)
+{
+    if (!acceptLeader(quorum, install.from, install.term, install.round, now, actions))
+        return;
+    const SnapshotRecord &snapshot = install.snapshot;
+    if (snapshot.index > quorum.commit) {
+        const bool continues = termAt(quorum, snapshot.index) == snapshot.term;
+        if (!continues)
+            quorum.log.clear();
+        while (!quorum.log.empty() && quorum.log.front().index <= snapshot.index)
+            quorum.log.pop_front();
+        quorum.snapshot = snapshot;
+        quorum.commit = snapshot.index;
+        quorum.applied = snapshot.index;
+        refreshMembers(quorum);
+        quorum.syncedIndex = std::min(quorum.syncedIndex, snapshot.index);
+        writeRecord(quorum, snapshot, actions);
+        actions.installed = snapshot;
+    }
+    AppendReply reply = makeReply(quorum, install.round);
+    reply.matches = true;
+    reply.index = snapshot.index;
+    sendAfterSync(quorum, install.from, reply, actions);
+}
+
+// [SECTION] Replies
+
+void handleAppendReply(QuorumState &quorum, const AppendReply &reply, Time now,
+                       QuorumActions &actions)
+{
+    if (reply.term > quorum.term)
+        return becomeFollower(quorum, reply.term, {}, now, actions);
+    const auto found = quorum.peers.find(reply.from);
+    if (quorum.role != Role::Leader || reply.term < quorum.term || found == quorum.peers.end())
+        return;
+    Peer &peer = found->second;
+    peer.heardAt = now;
+    peer.counts = reply.counts;
+    peer.waiting = false;
+    peer.ackedRound = std::max(peer.ackedRound, reply.round);
+    if (reply.matches) {
+        peer.match = std::max(peer.match, reply.index);
+        peer.next = std::max(peer.next, peer.match + 1);
+    } else {
+        peer.next = std::max(peer.match, std::min(reply.index, peer.next - 1)) + 1;
+    }
+    advanceCommit(quorum, actions);
+    confirmReads(quorum, actions);
+    replicate(quorum, reply.from, false, now, actions);
+}
+
+void advanceCommit(QuorumState &quorum, QuorumActions &actions)
+{
+    std::uint64_t index = quorum.commit;
+    const auto hasEntry = [&](std::uint64_t wanted) {
+        return majority(quorum, [&](const std::string &voter) {
+            if (voter == quorum.settings.self)
+                return !holds(Guard::Sync) || quorum.syncedIndex >= wanted;
+            const auto peer = quorum.peers.find(voter);
+            return peer != quorum.peers.end() && peer->second.counts
+                    && peer->second.match >= wanted;
+        });
+    };
+    while (index < lastIndex(quorum) && hasEntry(index + 1))
+        ++index;
+    // Entries of earlier terms are committed only with one of this term.
+    if (index >= quorum.termStart)
+        commitUpTo(quorum, index, actions);
+}
+
+void confirmReads(QuorumState &quorum, QuorumActions &actions)
+{
+    while (!quorum.reads.empty()) {
+        const PendingRead &read = quorum.reads.front();
+        const bool confirmed = majority(quorum, [&](const std::string &voter) {
+            if (voter == quorum.settings.self)
+                return true;
+            const auto peer = quorum.peers.find(voter);
+            return peer != quorum.peers.end() && peer->second.counts
+                    && peer->second.ackedRound >= read.round;
+        });
+        if (!confirmed || quorum.commit < quorum.termStart)
+            return;
+        actions.confirmedReads.push_back(read.id);
+        quorum.reads.pop_front();
+    }
+}
+
+// [SECTION] Time
+
+void tickLeader(QuorumState &quorum, Time now, QuorumActions &actions)
+{
+    const bool heard = majority(quorum, [&](const std::string &voter) {
+        if (voter == quorum.settings.self)
+            return true;
+        const auto peer = quorum.peers.find(voter);
+        return peer != quorum.peers.end() && peer->second.counts
+                && now < peer->second.heardAt + quorum.settings.electionSpan;
+    });
+    const bool removed = !isVoter(quorum, quorum.settings.self)
+            && quorum.commit >= quorum.membersIndex;
+    if ((!heard && holds(Guard::QuorumCheck)) || removed)
+        return becomeFollower(quorum, quorum.term, {}, now, actions);
+    if (now >= quorum.nextHeartbeat) {
+        ++quorum.round;
+        quorum.nextHeartbeat = now + quorum.settings.heartbeatInterval;
+        replicateAll(quorum, true, now, actions);
+    } else {
+        replicateAll(quorum, false, now, actions);
+    }
+}
+
+} // namespace foxwing::quorum
