Run control on one, three or five hosts that agree

Cause: accepted configuration and the entries' views hung on one disk. Conclusion: no single control host matters any more.

--- a/apps/foxwing/commandline.cpp
+++ b/apps/foxwing/commandline.cpp
@@ -20,15 +20,38 @@
 
 // [SECTION] Calls
 
-edge::HttpReply call(const Options &options, const std::string &method, const std::string &path,
-                     const std::string &body)
+namespace {
+
+edge::HttpReply callOne(const Options &options, const std::string &url, const std::string &method,
+                        const std::string &path, const std::string &body)
 {
     edge::HttpClientSettings settings;
     settings.insecure = options.insecure;
     settings.timeout = Milliseconds(options.deadlineMs + 60000);
-    edge::HttpClient client(options.url, settings);
-    edge::HttpReply reply = client.callAndWait(method, path, body,
-                                               { { "Authorization", "Bearer " + options.token } });
+    edge::HttpClient client(url, settings);
+    return client.callAndWait(method, path, body,
+                              { { "Authorization", "Bearer " + options.token } });
+}
+
+// A host that is down, or that does not lead: another one may answer.
+bool shouldAskAnother(const edge::HttpReply &reply)
+{
+    return reply.status == 0 || reply.status == 503;
+}
+
+} // namespace
+
+edge::HttpReply call(const Options &options, const std::string &method, const std::string &path,
+                     const std::string &body)
+{
+    edge::HttpReply reply;
+    std::istringstream urls(options.url);
+    std::string url;
+    while (std::getline(urls, url, ',')) {
+        reply = callOne(options, url, method, path, body);
+        if (!shouldAskAnother(reply))
+            return reply;
+    }
     if (reply.status == 0)
         std::fprintf(stderr, "foxwing: no answer from %s: %s; check --url and that foxwingd runs\n",
                      options.url.c_str(), reply.reason.c_str());
--- a/apps/foxwing/commandline.h
+++ b/apps/foxwing/commandline.h
@@ -76,6 +76,7 @@
 int runWatch(const Options &options);
 int runStatus(const Options &options);
 int runToken(const Options &options);
+int runMembers(const Options &options);
 int runJournal(const Options &options);
 int runLoad(const Options &options);
 
--- a/apps/foxwing/main.cpp
+++ b/apps/foxwing/main.cpp
@@ -31,7 +31,7 @@
     const char *help;
 };
 
-constexpr std::array<Command, 12> Commands { {
+constexpr std::array<Command, 13> Commands { {
         { "submit", runSubmit, "PAYLOAD...          submit a job, one task for each payload" },
         { "request", runRequest, "PAYLOAD             send a single request" },
         { "fetch", runFetch, "SUBMISSION          the answer of an earlier submission" },
@@ -41,6 +41,7 @@
         { "delete", runDelete, "KIND/NAME           delete a resource" },
         { "watch", runWatch, "                    print changes as they come" },
         { "status", runStatus, "                    the nodes and what they apply" },
+        { "members", runMembers, "[VOTERS [LEARNERS]] show or change the control group" },
         { "token", runToken, "[TEAM]              make a token and its salted hash" },
         { "load", runLoad, "EXPERIMENT          drive a running system and report" },
         { "journal", runJournal, "FOLDER              check and print a journal offline" },
@@ -113,7 +114,8 @@
     if (const char *token = std::getenv("FOXWING_TOKEN"))
         options.token = token;
     const poptOption table[] = {
-        { "url", 'u', POPT_ARG_STRING, &raw.url, 0, "daemon (or FOXWING_URL)", "URL" },
+        { "url", 'u', POPT_ARG_STRING, &raw.url, 0,
+          "daemon, or several with commas (or FOXWING_URL)", "URL" },
         { "token", 't', POPT_ARG_STRING, &raw.token, 0, "token (or FOXWING_TOKEN)", "TOKEN" },
         { "insecure", 0, POPT_ARG_NONE, &raw.insecure, 0, "accept any certificate", nullptr },
         { "json", 'j', POPT_ARG_NONE, &raw.json, 0, "print JSON", nullptr },
--- a/apps/foxwing/operatorcommands.cpp
+++ b/apps/foxwing/operatorcommands.cpp
@@ -268,6 +268,24 @@
     return ExitDone;
 }
 
+int runMembers(const Options &options)
+{
+    if (options.words.size() == 1)
+        return printReply(options, call(options, "GET", "/v1/members", {}));
+    const auto list = [](const std::string &text) {
+        Json::Value names(Json::arrayValue);
+        std::istringstream parts(text);
+        std::string name;
+        while (std::getline(parts, name, ','))
+            names.append(name);
+        return names;
+    };
+    Json::Value body(Json::objectValue);
+    body["voters"] = list(options.words[1]);
+    body["learners"] = list(options.words.size() > 2 ? options.words[2] : std::string());
+    return printReply(options, call(options, "PUT", "/v1/members", writeJson(body)));
+}
+
 int runToken(const Options &options)
 {
     std::random_device device;
--- a/bench/cluster.sh
+++ b/bench/cluster.sh
@@ -52,7 +52,8 @@
     local control="[control]
 operator_salt = \"$salt\"
 operator_token_hash = \"$operator\"
-journal_added_delay = \"${5:-0ms}\""
+journal_added_delay = \"${5:-0ms}\"
+bootstrap = $([ "$cluster_controls" -gt 1 ] && echo true || echo false)"
     for i in $(seq 0 $((cluster_controls - 1))); do
         cluster_node "control$i" '"control"' $((7300 + i)) $((7305 + i)) "$control"
     done
@@ -94,7 +95,7 @@
 spec = { salt = "b2c3d4e5", tokenHash = "$(printf 'b2c3d4e5:secret' | sha256sum | cut -d' ' -f1)" }
 TOML
     for _ in $(seq 50); do
-        "$cluster_build/apps/foxwing" apply --url http://127.0.0.1:7305 --token bench-operator \
+        "$cluster_build/apps/foxwing" apply --url "$(cluster_control_url)" --token bench-operator \
             "$cluster_dir/declarations.toml" >/dev/null 2>&1 && break
         sleep 0.1
     done
@@ -102,6 +103,12 @@
     sleep 1.5 # until the declarations are in force everywhere
 }
 
+cluster_control_url() { # all control hosts, for the command line
+    local list=""
+    for i in $(seq 0 $((cluster_controls - 1))); do list+="http://127.0.0.1:$((7305 + i)),"; done
+    echo "${list%,}"
+}
+
 cluster_urls() { # entry URLs as a TOML list
     local list=""
     for i in $(seq 0 $((cluster_entries - 1))); do list+="\"http://127.0.0.1:$((7350 + i))\", "; done
--- a/packages/control/include/foxwing/control/control.h
+++ b/packages/control/include/foxwing/control/control.h
@@ -32,6 +32,8 @@
 
 struct ControlSettings
 {
+    // This host
+    std::string self;
     // A node that has not beaten for this long is dead. Longer than the entries' master lease.
     Milliseconds deadAfter { 2500 };
 
--- a/packages/control/include/foxwing/control/messages.h
+++ b/packages/control/include/foxwing/control/messages.h
@@ -100,6 +100,9 @@
 {
     static constexpr const char *Type = "update";
 
+    // The control host that sent it
+    std::string from;
+
     // Of the beat that this answers.
     std::uint64_t number = 0;
     std::uint64_t incarnation = 0;
@@ -124,6 +127,7 @@
 template<class Fields>
 void describe(Fields &fields, Update &update)
 {
+    fields("from", update.from);
     fields("number", update.number);
     fields("incarnation", update.incarnation);
     fields("revision", update.revision);
--- a/packages/control/src/control.cpp
+++ b/packages/control/src/control.cpp
@@ -153,6 +153,7 @@
 Update makeUpdate(const ControlState &control, const Beat &beat)
 {
     Update update;
+    update.from = control.settings.self;
     update.number = beat.number;
     update.incarnation = beat.incarnation;
     addChanges(control, beat, update);
--- a/packages/node/include/foxwing/node/message.h
+++ b/packages/node/include/foxwing/node/message.h
@@ -11,6 +11,7 @@
 #include <foxwing/claims/messages.h>
 #include <foxwing/control/messages.h>
 #include <foxwing/entry/messages.h>
+#include <foxwing/quorum/messages.h>
 
 namespace foxwing::node {
 
@@ -22,7 +23,8 @@
         agent::Alive, agent::Fenced, claims::Ask, claims::AskAnswer, claims::Release,
         claims::Released, claims::Copy, claims::Copied, claims::ShardPart, claims::ShardPartTaken,
         claims::ShardsHeld, entry::Join, entry::JoinAnswer, entry::Handoff, entry::LoadReport,
-        control::Beat, control::Update>;
+        control::Beat, control::Update, quorum::VoteRequest, quorum::VoteReply, quorum::Append,
+        quorum::AppendReply, quorum::InstallSnapshot>;
 
 // Whether a message of this type can be held by a narrower variant.
 template<class Narrow, class Held>
--- a/packages/node/src/controlrole.h
+++ b/packages/node/src/controlrole.h
@@ -1,11 +1,14 @@
 /*
     The role control of a node: the shell around control::ControlState, and operators' requests.
 
+    Only the leader of the group answers nodes and operators; every host keeps the state.
+
     [SECTION] Role
 */
 #pragma once
 
-#include <deque>
+#include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -14,7 +17,7 @@
 #include <foxwing/metrics/metrics.h>
 #include <foxwing/settings/settings.h>
 
-#include "commitlog.h"
+#include "grouplog.h"
 #include "postoffice.h"
 
 namespace foxwing::node {
@@ -33,13 +36,15 @@
     bool serve(const edge::HttpRequest &request, const edge::Responder &responder);
 
     void receive(const control::Beat &beat);
+    void receive(const quorum::QuorumMessage &message) { m_log.receive(message); }
     void tick();
     void addSamples(std::vector<metrics::Sample> &samples) const;
 
 private:
-    // An operator who waits for a change to last.
+    // An operator who waits for a change to be committed.
     struct WaitingChange
     {
+        std::uint64_t term = 0;
         edge::Responder responder;
     };
 
@@ -52,22 +57,41 @@
     };
 
     void carryOut(control::ControlActions &&actions);
-    void onCommitted(const control::Command &command);
+    void onCommitted(const control::Command &command, std::uint64_t index, std::uint64_t term);
+    void onInstalled(control::ClusterState &&cluster);
+    void onRead(std::uint64_t id, bool confirmed);
     void onFailed(const Error &error);
+    void followLeadership();
+    void dropOperators();
+    void answerChange(std::uint64_t index, std::uint64_t term, const control::ChangeResult &result);
+
+    bool isOperator(const std::string &token) const;
+    void refuseAsFollower(const edge::Responder &responder) const;
     void serveChange(const edge::HttpRequest &request, const edge::Responder &responder);
+    void serveMembers(const edge::HttpRequest &request, const edge::Responder &responder);
     void serveRead(const edge::HttpRequest &request, const edge::Responder &responder) const;
     void serveWatch(const edge::HttpRequest &request, const edge::Responder &responder);
     void serveNodes(const edge::Responder &responder) const;
+
+    // Calls this once a quorum has confirmed that this host still leads.
+    void afterConfirmation(const edge::Responder &responder, std::function<void()> read);
     void answerWatchers(Time now);
     bool answerWatcher(const Watcher &watcher, bool overdue) const;
-    bool isOperator(const std::string &token) const;
 
     settings::Settings m_settings;
-    Loop &m_loop;
     PostOffice &m_post;
-    CommitLog m_log;
+    GroupLog m_log;
     control::ControlState m_state;
-    std::deque<WaitingChange> m_waiting;
+    bool m_leading = false;
+
+    struct WaitingRead
+    {
+        edge::Responder responder;
+        std::function<void()> read;
+    };
+    std::map<std::uint64_t, WaitingRead> m_reads;
+    std::uint64_t m_nextRead = 1;
+    std::map<std::uint64_t, WaitingChange> m_waiting;
     std::vector<Watcher> m_watchers;
     bool m_failed = false;
 };
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -116,6 +116,7 @@
     edge::HttpServer m_http;
 
     control::Reporter m_reporter;
+    std::string m_controlLeader;
     Time m_nextBeat {};
 
     Stopping m_stopping = Stopping::No;
@@ -195,6 +196,9 @@
     if (const auto *beat = std::get_if<control::Beat>(&message)) {
         if (m_control)
             m_control->receive(*beat);
+    } else if (const auto group = narrow<quorum::QuorumMessage>(message)) {
+        if (m_control)
+            m_control->receive(*group);
     } else if (const auto *update = std::get_if<control::Update>(&message)) {
         takeUpdate(*update);
     }
@@ -215,6 +219,7 @@
     const std::optional<Time> sentAt = control::acceptUpdate(m_reporter, update);
     if (!sentAt)
         return;
+    m_controlLeader = update.from;
     for (const claims::Member &member : update.view.members)
         m_post.learnAddress(member.replica.id, member.address);
     if (m_entry)
@@ -231,8 +236,13 @@
         m_entry->fillBeat(beat);
     const bool hurried = m_entry && !beat.leaving && !m_entry->allClaimsInService();
     m_nextBeat = now + (hurried ? HurriedBeatInterval : m_settings.cluster.beatInterval);
-    for (const settings::Peer &peer : m_settings.cluster.control)
-        m_post.send(peer.id, beat);
+    // The host that answered last is asked alone, as long as it answers.
+    const Milliseconds patience = 2 * m_settings.cluster.beatInterval;
+    const bool answered = m_reporter.confirmed && now < m_reporter.confirmedAt + patience;
+    for (const settings::Peer &peer : m_settings.cluster.control) {
+        if (!answered || peer.id == m_controlLeader)
+            m_post.send(peer.id, beat);
+    }
 }
 
 bool Node::Impl::configurationStale(Time now) const
--- a/packages/node/src/operatorapi.cpp
+++ b/packages/node/src/operatorapi.cpp
@@ -86,27 +86,69 @@
 {
     const std::vector<std::string> &path = request.path;
     const bool ours = path.size() >= 2 && path[0] == "v1"
-            && (path[1] == "resources" || path[1] == "watch" || path[1] == "nodes");
+            && (path[1] == "resources" || path[1] == "watch" || path[1] == "nodes"
+                || path[1] == "members");
     if (!ours)
         return false;
     const bool changes = request.method == "PUT" || request.method == "DELETE";
     if (!isOperator(request.token))
         replyError(responder, ErrorKind::Unauthenticated,
                    "only operators may do this; send the operators' token");
+    else if (!m_leading)
+        refuseAsFollower(responder);
     else if (path[1] == "watch")
         serveWatch(request, responder);
     else if (path[1] == "nodes")
-        serveNodes(responder);
+        afterConfirmation(responder, [this, responder] { serveNodes(responder); });
+    else if (path[1] == "members")
+        serveMembers(request, responder);
     else if (changes && path.size() == 4)
         serveChange(request, responder);
     else if (request.method == "GET" && path.size() >= 3 && path.size() <= 4)
-        serveRead(request, responder);
+        afterConfirmation(responder, [this, request, responder] { serveRead(request, responder); });
     else
         replyError(responder, ErrorKind::BadRequest,
                    "use GET /v1/resources/KIND, or GET, PUT, DELETE /v1/resources/KIND/NAME");
     return true;
 }
 
+void ControlRole::refuseAsFollower(const edge::Responder &responder) const
+{
+    const std::string &leader = m_log.state().leader;
+    Error error { ErrorKind::Unavailable, {}, Outcome::Unknown, Milliseconds { 300 } };
+    if (m_failed)
+        error.message =
+                "this control host can't write its journal; mend its disk and start it anew, "
+                "and ask another control host with the same request id";
+    else if (leader.empty() || leader == m_settings.node.id)
+        error.message = "no control host leads at present; ask again soon with the same request id";
+    else
+        error.message = "the control host " + leader + " leads; ask there with the same request id";
+    replyError(responder, error);
+}
+
+void ControlRole::afterConfirmation(const edge::Responder &responder, std::function<void()> read)
+{
+    const std::uint64_t id = m_nextRead++;
+    m_reads.emplace(id, WaitingRead { responder, std::move(read) });
+    m_log.requestRead(id);
+}
+
+void ControlRole::serveMembers(const edge::HttpRequest &request, const edge::Responder &responder)
+{
+    Error reason;
+    if (request.method == "PUT") {
+        quorum::Members wanted;
+        const auto json = parseJson(request.body, &reason);
+        if (!json || !fromJson(*json, &wanted, &reason) || !m_log.proposeMembers(wanted, &reason))
+            return replyError(responder, reason);
+    }
+    Json::Value json = toJson(m_log.state().members);
+    json["leader"] = m_log.state().leader;
+    json["committed"] = m_log.state().membersIndex <= m_log.state().commit;
+    responder.reply(200, "application/json", writeJson(json));
+}
+
 void ControlRole::serveChange(const edge::HttpRequest &request, const edge::Responder &responder)
 {
     Error reason;
@@ -123,11 +165,12 @@
         const int status = result.kind == ErrorKind::None ? 200 : httpStatus(result.kind);
         return responder.reply(status, "application/json", writeJson(json));
     }
-    if (m_failed || !m_log.propose(control::DeclareCommand { *change }))
-        return replyError(responder, ErrorKind::Unavailable,
-                          "this control host can't write its journal; mend its disk and start it "
-                          "anew");
-    m_waiting.push_back({ responder });
+    const auto entry = m_log.propose(control::DeclareCommand { *change });
+    if (!entry)
+        return refuseAsFollower(responder);
+    // A group of one host may have committed it already.
+    if (m_log.state().applied < entry->index)
+        m_waiting.emplace(entry->index, WaitingChange { entry->term, responder });
 }
 
 // [SECTION] Reads
--- a/packages/settings/include/foxwing/settings/settings.h
+++ b/packages/settings/include/foxwing/settings/settings.h
@@ -121,6 +121,10 @@
     entry::EntrySettings entry;
     control::ControlSettings control;
 
+    // Control only: the hosts of cluster.control begin a new group together. Only for the very
+    // first start of three or five hosts; to be removed from the settings afterwards.
+    bool bootstrap = false;
+
     // How long a stopping entry still takes requests, for the balancer to notice.
     Milliseconds drainNotice { 2000 };
 
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -21,6 +21,9 @@
 // [SECTION] Tables
 
 constexpr int HighestPort = 65535;
+
+// Three or five, and one more while it replaces another.
+constexpr std::size_t MostControlHosts = 6;
 constexpr std::int64_t MostBytes = std::int64_t { 1 } << 40;
 constexpr std::int64_t MostCount = 100000000;
 
@@ -176,6 +179,7 @@
     table.whole("claim_replicas", settings.control.replicaCount, 1, 5);
     table.span("journal_added_delay", settings.journal.addedDelay);
     table.whole("snapshot_every", settings.journal.snapshotEvery, 10, MostCount);
+    table.flag("bootstrap", settings.bootstrap);
     table.text("operator_salt", settings.operators.salt);
     table.text("operator_token_hash", settings.operators.tokenHash);
     if (settings.node.control && settings.operators.tokenHash.size() != 64)
@@ -219,8 +223,13 @@
         root.refuse("cluster",
                     "names this node under [[cluster.control]], but \"node.roles\" lacks "
                     "control");
-    if (settings.cluster.control.size() > 1)
-        root.refuse("cluster", "names more than one control host; this version runs one only");
+    const std::size_t hosts = settings.cluster.control.size();
+    if (hosts > MostControlHosts)
+        root.refuse("cluster", "names more than six control hosts; use one, three or five");
+    if (settings.bootstrap && hosts % 2 == 0)
+        root.refuse("cluster",
+                    "names an even number of control hosts; begin with one, three or "
+                    "five: an even number tolerates no more failures than one fewer");
 }
 
 // What several slices must agree on is set in one place.
@@ -234,6 +243,8 @@
     settings.entry.dispatch.id = node.id;
     settings.entry.dispatch.dataCentre = node.dataCentre;
     settings.entry.claims.self.id = node.id;
+    settings.control.self = node.id;
+    settings.control.configurationLease = settings.entry.configurationLease;
     settings.control.clockSkew = settings.entry.claims.clockSkew;
     settings.control.agentMemory = settings.agent.retention;
 }
