--- a/apps/foxwing/operatorcommands.cpp
+++ b/apps/foxwing/operatorcommands.cpp
@@ -14,6 +14,7 @@
 #include <random>
 #include <sstream>
 #include <sys/stat.h>
+#include <thread>
 
 #include <foxwing/base/codec.h>
 #include <foxwing/entry/teams.h>
@@ -193,6 +194,8 @@
 
 namespace {
 
+constexpr Milliseconds WatchPause { 200 };
+
 std::optional<std::uint64_t> presentRevision(const Options &options)
 {
     const edge::HttpReply reply = call(options, "GET", "/v1/resources/all", {});
@@ -240,6 +243,12 @@
             revision = *present;
             continue;
         }
+        if (reply.status == 0 || reply.status == 503) {
+            // No leader at present. Nothing is missed: the next one is asked from the same
+            // revision.
+            std::this_thread::sleep_for(WatchPause);
+            continue;
+        }
         if (reply.status != 200 || !json)
             return printReply(options, reply);
         printChanges(options, (*json)["changes"], &seen);
--- /dev/null
+++ b/bench/beats.cpp
@@ -0,0 +1,155 @@
+/*
+    Many small stand-in agents against real control hosts, in one process: each beats once a second
+   as an agent does, and counts what comes back.
+
+        beats CONTROL_ADDRESS SECRET AGENTS SECONDS FIRST_PORT
+
+    Prints beats, answers, bytes of messages a node and second, and how long answers took. What
+   control spends is read from its own process by the script that runs this.
+
+    [SECTION] Agents
+    [SECTION] Main
+*/
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <mutex>
+#include <thread>
+
+#include <foxwing/base/codec.h>
+#include <foxwing/control/messages.h>
+#include <foxwing/control/reporter.h>
+#include <foxwing/wire/lanes.h>
+#include <foxwing/wire/rpcserver.h>
+
+using namespace foxwing;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+Time steadyNow()
+{
+    return std::chrono::time_point_cast<Microseconds>(Clock::now());
+}
+
+// [SECTION] Agents
+
+struct StandIn
+{
+    control::Reporter reporter;
+};
+
+class Fleet
+{
+public:
+    Fleet(std::size_t count, const std::string &address)
+        : m_agents(count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            control::Beat identity;
+            identity.id = "stand-in-" + std::to_string(i);
+            identity.incarnation = i + 1;
+            identity.address = address;
+            identity.dataCentre = "dc" + std::to_string(i % 15);
+            identity.isAgent = true;
+            identity.service = "svc";
+            identity.slots = 8;
+            m_agents[i].reporter = control::makeReporter(identity);
+        }
+    }
+
+    control::Beat beat(std::size_t number)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return control::nextBeat(m_agents[number].reporter, steadyNow());
+    }
+
+    // Updates do not name the agent; here its incarnation does.
+    void take(const wire::Envelope &envelope)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        for (const Json::Value &message : envelope.messages) {
+            ++answers;
+            answerBytes += writeJson(message).size();
+            Error ignored;
+            const auto decoded = decodeMessage<control::FromControl>(message, &ignored);
+            if (!decoded)
+                continue;
+            const control::Update &update = std::get<control::Update>(*decoded);
+            if (update.incarnation >= 1 && update.incarnation <= m_agents.size())
+                control::acceptUpdate(m_agents[update.incarnation - 1].reporter, update);
+        }
+    }
+
+    std::atomic<std::uint64_t> answers { 0 };
+    std::atomic<std::uint64_t> answerBytes { 0 };
+
+private:
+    std::mutex m_mutex;
+    std::vector<StandIn> m_agents;
+};
+
+} // namespace
+
+// [SECTION] Main
+
+int main(int argc, char **argv)
+{
+    if (argc != 6) {
+        std::fprintf(stderr, "use: beats CONTROL_ADDRESS SECRET AGENTS SECONDS PORT\n");
+        return 2;
+    }
+    const std::string control = argv[1];
+    const auto count = static_cast<std::size_t>(std::atol(argv[3]));
+    const int seconds = std::atoi(argv[4]);
+    const std::string address = std::string("127.0.0.1:") + argv[5];
+    Fleet fleet(count, address);
+    wire::RpcServerSettings serverSettings;
+    serverSettings.port = std::atoi(argv[5]);
+    serverSettings.secret = argv[2];
+    wire::RpcServer server(serverSettings,
+                           [&](wire::Envelope &&envelope) { fleet.take(envelope); });
+    Error reason;
+    if (!server.start(&reason)) {
+        std::fprintf(stderr, "%s\n", reason.message.c_str());
+        return 1;
+    }
+    // Each agent would have a connection of its own; a pool for each keeps them from sharing calls.
+    std::vector<std::unique_ptr<wire::LanePool>> pools;
+    constexpr std::size_t Pools = 40;
+    for (std::size_t i = 0; i < std::min(Pools, count); ++i) {
+        wire::LaneSettings lanes;
+        lanes.threads = 1;
+        lanes.from = "stand-in-" + std::to_string(i);
+        lanes.address = address;
+        lanes.secret = argv[2];
+        lanes.mostInCall = 1;
+        pools.push_back(std::make_unique<wire::LanePool>(lanes,
+                                                         [](const std::string &,
+                                                            std::vector<Json::Value> &&) {}));
+    }
+    std::uint64_t beats = 0;
+    std::uint64_t beatBytes = 0;
+    const Clock::time_point begin = Clock::now();
+    const auto gap = std::chrono::nanoseconds(1000000000LL / static_cast<std::int64_t>(count));
+    const auto total = static_cast<std::size_t>(seconds) * count;
+    for (std::size_t i = 0; i < total; ++i) {
+        std::this_thread::sleep_until(begin + gap * static_cast<std::int64_t>(i));
+        std::variant<control::Beat> message = fleet.beat(i % count);
+        Json::Value json = encodeMessage(message);
+        beatBytes += writeJson(json).size();
+        ++beats;
+        pools[i % pools.size()]->send(control, std::move(json));
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    const double nodeSeconds = static_cast<double>(count) * seconds;
+    std::printf("agents %zu beats %llu answers %llu, bytes a node and second: sent %.0f received "
+                "%.0f\n",
+                count, static_cast<unsigned long long>(beats),
+                static_cast<unsigned long long>(fleet.answers.load()),
+                static_cast<double>(beatBytes) / nodeSeconds,
+                static_cast<double>(fleet.answerBytes.load()) / nodeSeconds);
+    return 0;
+}
--- /dev/null
+++ b/packages/agent/tests/agent_test.cpp
@@ -0,0 +1,242 @@
+/*
+    What an agent starts, what it refuses, and what it says about it.
+
+    [SECTION] Helpers
+    [SECTION] Refusals
+    [SECTION] Results
+    [SECTION] Leases
+*/
+#include <foxwing/agent/agent.h>
+
+#include <gtest/gtest.h>
+
+namespace foxwing::agent {
+namespace {
+
+// [SECTION] Helpers
+
+constexpr Time Begin { Milliseconds(1000) };
+
+AgentState leasedAgent()
+{
+    AgentSettings settings;
+    settings.id = "worker-1";
+    settings.incarnation = 7;
+    settings.service = "svc";
+    settings.slots = 2;
+    AgentState agent = makeAgent(settings);
+    setEntries(agent, { { "entry-a", 1, "" } }, Begin);
+    return agent;
+}
+
+Start goodStart(std::uint32_t task = 0)
+{
+    Start start;
+    start.ref = { "team/job", task, 0 };
+    start.team = "team";
+    start.owner = "entry-a";
+    start.ownerIncarnation = 1;
+    start.jobEpoch = 1;
+    start.leaseEpoch = 1;
+    start.agentIncarnation = 7;
+    start.timeLeft = Milliseconds(1000);
+    return start;
+}
+
+template<class Message>
+const Message *only(const AgentActions &actions)
+{
+    return actions.sends.size() == 1 ? std::get_if<Message>(&actions.sends[0].message) : nullptr;
+}
+
+// [SECTION] Refusals
+
+struct RefusedStart
+{
+    const char *name;
+    void (*spoil)(AgentState &, Start &);
+    RefusalCause cause;
+};
+
+class Refusal : public testing::TestWithParam<RefusedStart>
+{ };
+
+TEST_P(Refusal, IsSaidAndHoldsForEver)
+{
+    AgentState agent = leasedAgent();
+    Start start = goodStart();
+    GetParam().spoil(agent, start);
+    AgentActions actions = handle(agent, start, Begin);
+    EXPECT_TRUE(actions.calls.empty());
+    const auto *refused = only<NotStarted>(actions);
+    ASSERT_NE(refused, nullptr);
+    EXPECT_EQ(refused->cause, GetParam().cause);
+    // The same attempt must not start later either, once the cause is gone.
+    agent = AgentState(agent);
+    agent.leaving = false;
+    agent.running.clear();
+    agent.unsettledBytes = 0;
+    actions = handle(agent, goodStart(), Begin);
+    EXPECT_TRUE(actions.calls.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Table, Refusal,
+        testing::Values(
+                RefusedStart { "OtherIncarnation",
+                               [](AgentState &, Start &start) { start.agentIncarnation = 6; },
+                               RefusalCause::WrongIncarnation },
+                RefusedStart { "OldLease", [](AgentState &, Start &start) { start.leaseEpoch = 0; },
+                               RefusalCause::WrongLease },
+                RefusedStart { "OtherOwner",
+                               [](AgentState &, Start &start) { start.owner = "entry-b"; },
+                               RefusalCause::WrongLease },
+                RefusedStart { "OwnerRestarted",
+                               [](AgentState &, Start &start) { start.ownerIncarnation = 2; },
+                               RefusalCause::WrongLease },
+                RefusedStart { "Fenced",
+                               [](AgentState &agent, Start &) {
+                                   handle(agent, Fence { "team/job", 2, "entry-b" }, Begin);
+                               },
+                               RefusalCause::Fenced },
+                RefusedStart { "Voided",
+                               [](AgentState &agent, Start &start) {
+                                   handle(agent, Void { "entry-a", start.ref, 7 }, Begin);
+                               },
+                               RefusalCause::AlreadyVoided },
+                RefusedStart { "Cancelled",
+                               [](AgentState &agent, Start &start) {
+                                   handle(agent, Cancel { "entry-a", { start.ref }, 7 }, Begin);
+                               },
+                               RefusalCause::AlreadyVoided },
+                RefusedStart { "Leaving", [](AgentState &agent, Start &) { leave(agent, Begin); },
+                               RefusalCause::Leaving },
+                RefusedStart { "NoTime",
+                               [](AgentState &, Start &start) { start.timeLeft = Microseconds(0); },
+                               RefusalCause::DeadlinePassed },
+                RefusedStart { "NoSlot",
+                               [](AgentState &agent, Start &) {
+                                   handle(agent, goodStart(1), Begin);
+                                   handle(agent, goodStart(2), Begin);
+                               },
+                               RefusalCause::NoFreeSlot },
+                RefusedStart { "TooManyResults",
+                               [](AgentState &agent, Start &) {
+                                   agent.unsettledBytes = agent.settings.unsettledBytes;
+                               },
+                               RefusalCause::TooManyUnsettled }),
+        [](const testing::TestParamInfo<RefusedStart> &given) { return given.param.name; });
+
+// [SECTION] Results
+
+TEST(Agent, StartsOnceHoweverOftenItIsAsked)
+{
+    AgentState agent = leasedAgent();
+    EXPECT_EQ(handle(agent, goodStart(), Begin).calls.size(), 1U);
+    EXPECT_TRUE(handle(agent, goodStart(), Begin).calls.empty());
+    endpointDone(agent, goodStart().ref, TaskEnd::Succeeded, "result", Begin);
+    const AgentActions again = handle(agent, goodStart(), Begin);
+    EXPECT_TRUE(again.calls.empty());
+    const auto *finished = only<Finished>(again);
+    ASSERT_NE(finished, nullptr);
+    EXPECT_EQ(finished->body, "result");
+    EXPECT_EQ(agent.usage["team"].starts, 1U);
+}
+
+TEST(Agent, RepeatsResultsUntilTheyAreSettled)
+{
+    AgentState agent = leasedAgent();
+    handle(agent, goodStart(), Begin);
+    endpointDone(agent, goodStart().ref, TaskEnd::Succeeded, "result", Begin);
+    EXPECT_FALSE(drained(agent));
+    int repeats = 0;
+    for (Time now = Begin; now < Begin + Seconds(10); now += Milliseconds(50)) {
+        for (const Outgoing &send : tick(agent, now).sends)
+            repeats += std::holds_alternative<Finished>(send.message) ? 1 : 0;
+    }
+    EXPECT_EQ(repeats, 4); // after 0.5, 1.5, 3.5 and 7.5 seconds
+    handle(agent, Settle { { goodStart().ref } }, Begin + Seconds(10));
+    EXPECT_TRUE(drained(agent));
+    EXPECT_EQ(agent.unsettledBytes, 0U);
+}
+
+TEST(Agent, TellsANewOwnerWhatItKnows)
+{
+    AgentState agent = leasedAgent();
+    handle(agent, goodStart(0), Begin);
+    handle(agent, goodStart(1), Begin);
+    endpointDone(agent, goodStart(0).ref, TaskEnd::Succeeded, "result", Begin);
+    handle(agent, Settle { { goodStart(0).ref } }, Begin);
+    const AgentActions actions = handle(agent, Fence { "team/job", 2, "entry-b" }, Begin);
+    const auto *fenced = only<Fenced>(actions);
+    ASSERT_NE(fenced, nullptr);
+    ASSERT_EQ(fenced->tasks.size(), 2U);
+    EXPECT_TRUE(fenced->tasks[0].finished);
+    EXPECT_EQ(fenced->tasks[0].body, "result") << "settled results are kept for a takeover";
+    EXPECT_FALSE(fenced->tasks[1].finished);
+    const AgentActions done = endpointDone(agent, goodStart(1).ref, TaskEnd::Succeeded, "late",
+                                           Begin);
+    EXPECT_EQ(done.sends.at(0).to, "entry-b");
+}
+
+TEST(Agent, ForgetsWhatIsOldAndStaysSmall)
+{
+    AgentState agent = leasedAgent();
+    Time now = Begin;
+    for (int i = 0; i < 2000; ++i) {
+        Start start = goodStart();
+        start.ref.job = "team/job" + std::to_string(i);
+        handle(agent, start, now);
+        endpointDone(agent, start.ref, TaskEnd::Succeeded, std::string(1000, 'x'), now);
+        handle(agent, Settle { { start.ref } }, now);
+        now += Seconds(1);
+        tick(agent, now);
+    }
+    EXPECT_LE(agent.jobs.size(), 905U);
+    EXPECT_LE(agent.settledBytes, 32000U);
+}
+
+TEST(Agent, StopsOverdueTasks)
+{
+    AgentState agent = leasedAgent();
+    handle(agent, goodStart(), Begin);
+    EXPECT_TRUE(tick(agent, Begin + Milliseconds(999)).stops.empty());
+    EXPECT_EQ(tick(agent, Begin + Milliseconds(1000)).stops.size(), 1U);
+    EXPECT_TRUE(tick(agent, Begin + Milliseconds(1010)).stops.empty()) << "told once";
+    const AgentActions done = endpointDone(agent, goodStart().ref, TaskEnd::Cancelled, "",
+                                           Begin + Milliseconds(1020));
+    EXPECT_EQ(only<Finished>(done)->end, TaskEnd::DeadlinePassed);
+}
+
+// [SECTION] Leases
+
+TEST(Agent, MovesItsLeaseFromASilentOwner)
+{
+    AgentState agent = leasedAgent();
+    setEntries(agent, { { "entry-a", 1, "" }, { "entry-b", 1, "" } }, Begin);
+    const std::string first = agent.lease.owner;
+    const std::uint64_t epoch = agent.lease.epoch;
+    for (Time now = Begin; now < Begin + Milliseconds(1600); now += Milliseconds(50))
+        tick(agent, now);
+    EXPECT_NE(agent.lease.owner, first);
+    EXPECT_GT(agent.lease.epoch, epoch);
+}
+
+TEST(Agent, YieldsOnlyOnItsOwnersWord)
+{
+    AgentState agent = leasedAgent();
+    setEntries(agent, { { "entry-a", 1, "" }, { "entry-b", 1, "" } }, Begin);
+    const std::string owner = agent.lease.owner;
+    const std::string other = owner == "entry-a" ? "entry-b" : "entry-a";
+    const std::uint64_t epoch = agent.lease.epoch;
+    handle(agent, Yield { other, other, epoch, 7 }, Begin);
+    handle(agent, Yield { owner, other, epoch - 1, 7 }, Begin);
+    handle(agent, Yield { owner, "nobody", epoch, 7 }, Begin);
+    EXPECT_EQ(agent.lease.owner, owner);
+    handle(agent, Yield { owner, other, epoch, 7 }, Begin);
+    EXPECT_EQ(agent.lease.owner, other);
+    EXPECT_EQ(agent.lease.epoch, epoch + 1);
+}
+
+} // namespace
+} // namespace foxwing::agent
--- a/packages/load/src/experiment.cpp
+++ b/packages/load/src/experiment.cpp
@@ -80,7 +80,7 @@
                             + std::string(error.description()) + "; mend the TOML text");
     }
     Experiment experiment;
-    settings::TomlReader root(std::move(document), path, {}, reason);
+    settings::TomlReader root(std::move(document), path, reason);
     root.list("urls", experiment.urls);
     root.list("metrics_urls", experiment.metricsUrls);
     root.text("baseline_url", experiment.baselineUrl);
--- a/packages/settings/include/foxwing/settings/tomlreader.h
+++ b/packages/settings/include/foxwing/settings/tomlreader.h
@@ -5,6 +5,7 @@
 */
 #pragma once
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -20,7 +21,7 @@
 class TomlReader
 {
 public:
-    TomlReader(toml::table table, std::string path, std::string prefix, Error *reason);
+    TomlReader(toml::table document, std::string path, Error *reason);
 
     void text(const char *key, std::string &value);
     void flag(const char *key, bool &value);
@@ -57,7 +58,12 @@
     void refuseAt(const toml::source_region &where, const std::string &key,
                   const std::string &what);
 
-    toml::table m_table;
+    TomlReader(std::shared_ptr<const toml::table> document, const toml::table *table,
+               std::string path, std::string prefix, Error *reason);
+
+    // The whole document is kept: copies of its parts would not know their lines any more.
+    std::shared_ptr<const toml::table> m_document;
+    const toml::table *m_table;
     std::string m_path;
     std::string m_prefix;
     Error *m_reason;
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -266,7 +266,7 @@
                             + std::string(error.description()) + "; mend the TOML text");
     }
     Settings settings;
-    TomlReader root(std::move(document), path, {}, reason);
+    TomlReader root(std::move(document), path, reason);
     readNode(root.table("node"), settings.node);
     readListen(root.table("listen"), settings.listen);
     readCluster(root.table("cluster"), settings.cluster);
--- a/packages/settings/src/tomlreader.cpp
+++ b/packages/settings/src/tomlreader.cpp
@@ -14,8 +14,27 @@
 
 // [SECTION] Values
 
-TomlReader::TomlReader(toml::table table, std::string path, std::string prefix, Error *reason)
-    : m_table(std::move(table))
+namespace {
+
+const toml::table &emptyTable()
+{
+    static const toml::table empty;
+    return empty;
+}
+
+} // namespace
+
+TomlReader::TomlReader(toml::table document, std::string path, Error *reason)
+    : m_document(std::make_shared<const toml::table>(std::move(document)))
+    , m_table(m_document.get())
+    , m_path(std::move(path))
+    , m_reason(reason)
+{ }
+
+TomlReader::TomlReader(std::shared_ptr<const toml::table> document, const toml::table *table,
+                       std::string path, std::string prefix, Error *reason)
+    : m_document(std::move(document))
+    , m_table(table)
     , m_path(std::move(path))
     , m_prefix(std::move(prefix))
     , m_reason(reason)
@@ -29,7 +48,7 @@
 const toml::node *TomlReader::take(const char *key)
 {
     m_asked.emplace_back(key);
-    return ok() ? m_table.get(key) : nullptr;
+    return ok() ? m_table->get(key) : nullptr;
 }
 
 void TomlReader::text(const char *key, std::string &value)
@@ -157,8 +176,8 @@
     const toml::node *node = take(key);
     if (node && !node->is_table())
         refuse(key, std::string("must be a table: [") + key + "]");
-    toml::table inner = node && node->is_table() ? *node->as_table() : toml::table {};
-    return { std::move(inner), m_path, m_prefix + key + ".", m_reason };
+    const toml::table *inner = node && node->is_table() ? node->as_table() : &emptyTable();
+    return { m_document, inner, m_path, m_prefix + key + ".", m_reason };
 }
 
 std::vector<TomlReader> TomlReader::tables(const char *key)
@@ -173,13 +192,13 @@
         return readers;
     }
     for (const toml::node &item : *array)
-        readers.emplace_back(*item.as_table(), m_path, m_prefix + key + ".", m_reason);
+        readers.push_back({ m_document, item.as_table(), m_path, m_prefix + key + ".", m_reason });
     return readers;
 }
 
 bool TomlReader::finish()
 {
-    for (const auto &item : m_table) {
+    for (const auto &item : *m_table) {
         const std::string key(item.first.str());
         if (std::find(m_asked.begin(), m_asked.end(), key) != m_asked.end())
             continue;
@@ -192,8 +211,8 @@
 
 void TomlReader::refuse(const char *key, const std::string &what)
 {
-    const toml::node *node = m_table.get(key);
-    refuseAt(node ? node->source() : m_table.source(), key, what);
+    const toml::node *node = m_table->get(key);
+    refuseAt(node ? node->source() : m_table->source(), key, what);
 }
 
 void TomlReader::refuseAt(const toml::source_region &where, const std::string &key,
--- /dev/null
+++ b/packages/settings/tests/settings_test.cpp
@@ -0,0 +1,125 @@
+/*
+    Good settings are read, bad ones are refused with file, line and remedy.
+
+    [SECTION] Helpers
+    [SECTION] Tests
+*/
+#include <foxwing/settings/settings.h>
+
+#include <gtest/gtest.h>
+
+namespace foxwing::settings {
+namespace {
+
+// [SECTION] Helpers
+
+const std::string Good = R"([node]
+id = "a"
+data_centre = "oviedo"
+data_folder = "data"
+roles = ["control", "entry", "agent"]
+[listen]
+inner = "127.0.0.1:7100"
+outer = "127.0.0.1:7000"
+[cluster]
+secret = "sixteen characters"
+[[cluster.control]]
+id = "a"
+address = "127.0.0.1:7100"
+[agent]
+endpoint = "http://127.0.0.1:9000"
+service = "svc"
+lease_span = "2s"
+[control]
+operator_salt = "12345678"
+operator_token_hash = "0000000000000000000000000000000000000000000000000000000000000000"
+)";
+
+std::string replaced(const std::string &from, const std::string &to)
+{
+    std::string text = Good;
+    return text.replace(text.find(from), from.size(), to);
+}
+
+// [SECTION] Tests
+
+TEST(Settings, GoodOnesAreRead)
+{
+    Error reason;
+    const auto settings = parseSettings(Good, "node.toml", &reason);
+    ASSERT_TRUE(settings) << reason.message;
+    EXPECT_TRUE(settings->node.control && settings->node.entry && settings->node.agent);
+    EXPECT_EQ(settings->agent.leaseSpan, Milliseconds(2000));
+    EXPECT_EQ(settings->listen.outer.port, 7000);
+    EXPECT_EQ(settings->entry.dispatch.id, "a");
+}
+
+struct BadSetting
+{
+    const char *name;
+    std::string text;
+    const char *place;
+    const char *remedy;
+};
+
+class Refused : public testing::TestWithParam<BadSetting>
+{ };
+
+TEST_P(Refused, NamesPlaceAndRemedy)
+{
+    Error reason;
+    EXPECT_FALSE(parseSettings(GetParam().text, "node.toml", &reason));
+    EXPECT_NE(reason.message.find(GetParam().place), std::string::npos) << reason.message;
+    EXPECT_NE(reason.message.find(GetParam().remedy), std::string::npos) << reason.message;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Table, Refused,
+        testing::Values(
+                BadSetting { "Toml", replaced("[listen]", "[listen"), "node.toml:", "TOML" },
+                BadSetting { "UnknownKey", replaced("data_centre", "datacenter"), "node.toml:3",
+                             "is not known" },
+                BadSetting { "UnknownTable", Good + "[agnet]\n", "agnet", "is not known" },
+                BadSetting { "NoUnit", replaced("\"2s\"", "2"), "node.toml:17", "with its unit" },
+                BadSetting { "WrongUnit", replaced("\"2s\"", "\"2sec\""), "node.toml:17",
+                             "with its unit" },
+                BadSetting { "HugeSpan", replaced("\"2s\"", "\"99999999999999s\""), "node.toml:17",
+                             "with its unit" },
+                BadSetting { "UnknownRole", replaced("\"agent\"]", "\"agnet\"]"), "node.toml:5",
+                             "knows control, entry and agent" },
+                BadSetting { "HostName", replaced("127.0.0.1:7000", "localhost:7000"),
+                             "node.toml:8", "IPv4 number" },
+                BadSetting { "PortOutOfRange", replaced("127.0.0.1:7000", "127.0.0.1:70000"),
+                             "node.toml:8", "IPv4 number and a port" },
+                BadSetting { "SamePorts", replaced("127.0.0.1:7000", "127.0.0.1:7100"), "listen",
+                             "different ports" },
+                BadSetting { "ShortSecret", replaced("sixteen characters", "short"),
+                             "cluster.secret", "foxwing token" },
+                BadSetting { "ControlWithoutFolder", replaced("data_folder = \"data\"\n", ""),
+                             "node", "data_folder" },
+                BadSetting { "ControlNotNamed",
+                             replaced("id = \"a\"\naddress", "id = \"b\"\naddress"), "cluster",
+                             "must name this node" },
+                BadSetting { "AgentWithoutService", replaced("service = \"svc\"\n", ""),
+                             "agent.service", "must name the service" },
+                BadSetting { "OfferTooSlow", replaced("lease_span = \"2s\"", "lease_span = \"1s\""),
+                             "agent.offer_interval", "a third" },
+                BadSetting {
+                        "OperatorTokenInTheClear",
+                        replaced("0000000000000000000000000000000000000000000000000000000000000000",
+                                 "secret"),
+                        "control.operator_token_hash", "foxwing token" },
+                BadSetting { "HalfOfTls", replaced("[cluster]", "key_file = \"k\"\n[cluster]"),
+                             "listen.certificate_file", "go together" },
+                BadSetting { "EvenGroup",
+                             replaced("[agent]",
+                                      "[[cluster.control]]\nid = \"b\"\naddress = "
+                                      "\"127.0.0.1:7200\"\n[agent]")
+                                     + "bootstrap = true\n",
+                             "cluster", "even number" },
+                BadSetting { "DeadBeforeLease", Good + "dead_after = \"1s\"\n",
+                             "control.dead_after", "master_lease" }),
+        [](const testing::TestParamInfo<BadSetting> &given) { return given.param.name; });
+
+} // namespace
+} // namespace foxwing::settings
--- a/tests/schedules/world.cpp
+++ b/tests/schedules/world.cpp
@@ -117,6 +117,8 @@
     bool lookUp = false;
 };
 
+} // namespace
+
 struct World
 {
     std::mt19937_64 random;
@@ -139,8 +141,16 @@
     // Jobs of which somebody was told "not run".
     std::set<std::string> saidNotRun;
     Report report;
+
+    // Sessions only: the time of the next tasks, and whether one is to fail
+    bool session = false;
+    Milliseconds taskTime { 0 };
+    bool failNext = false;
+    std::vector<std::string> transcript;
 };
 
+namespace {
+
 bool chance(World &world, double probability)
 {
     return std::uniform_real_distribution<double>(0, 1)(world.random) < probability;
@@ -172,7 +182,7 @@
 void deliverLater(World &world, const std::string &from, const std::string &to,
                   const Message &message)
 {
-    Microseconds delay(between(world, 300, 1500));
+    Microseconds delay(world.session ? 500 : between(world, 300, 1500));
     if (world.chaos && chance(world, 0.02))
         delay = Milliseconds(between(world, 5, 3000));
     world.network.push({ world.now + delay, world.order++, from, to, message });
@@ -212,7 +222,8 @@
             violate(world, "started twice: " + key);
         if (world.saidNotRun.count(call.ref.job) != 0)
             violate(world, "started after \"not run\" was said: " + key);
-        const Milliseconds span(between(world, 20, 900));
+        const Milliseconds span = world.session ? world.taskTime
+                                                : Milliseconds(between(world, 20, 900));
         world.running.push_back({ world.now + span, process.id, process.incarnation, call.ref });
     }
     for (const agent::EndpointStop &stop : actions.stops) {
@@ -340,6 +351,35 @@
                     text.c_str());
 }
 
+// Steady traffic that says nothing about a submission.
+bool isUpkeep(const Message &message)
+{
+    return std::holds_alternative<control::Beat>(message)
+            || std::holds_alternative<control::Update>(message)
+            || std::holds_alternative<agent::LeaseOffer>(message)
+            || std::holds_alternative<agent::LeaseTaken>(message)
+            || std::holds_alternative<agent::Yield>(message)
+            || std::holds_alternative<agent::Alive>(message)
+            || std::holds_alternative<entry::LoadReport>(message)
+            || std::holds_alternative<claims::ShardPart>(message)
+            || std::holds_alternative<claims::ShardPartTaken>(message)
+            || std::holds_alternative<claims::ShardsHeld>(message);
+}
+
+void record(World &world, const std::string &from, const std::string &to, const Message &message)
+{
+    if (!world.session || isUpkeep(message))
+        return;
+    std::string text = writeJson(encodeMessage(message));
+    for (std::size_t i = 0; i < world.works.size(); ++i) {
+        const std::string &id = world.works[i].request.submission;
+        for (std::size_t at = text.find(id); !id.empty() && at != std::string::npos;
+             at = text.find(id))
+            text.replace(at, id.size(), "SUBMISSION-" + std::to_string(i));
+    }
+    world.transcript.push_back(from + " -> " + to + " " + text);
+}
+
 void receive(World &world, Process &process, const Message &message)
 {
     trace(world, process.id, message);
@@ -531,8 +571,24 @@
     }
 }
 
+// A line of a golden file; ids are random, so the number of the submission stands for them.
+std::string replyLine(const World &world, const entry::Reply &reply)
+{
+    const auto found = world.waiting.find(reply.waiter);
+    const std::string who = found == world.waiting.end() ? "?" : std::to_string(found->second.work);
+    std::string line = "reply to submission " + who + ": " + toString(reply.answer.outcome);
+    if (reply.answer.outcome == Outcome::Complete)
+        line += ", " + std::to_string(reply.answer.results.size()) + " results";
+    else
+        line += std::string(", ") + toString(reply.answer.error.kind) + ", "
+                + reply.answer.error.message;
+    return line;
+}
+
 void checkReply(World &world, const entry::Reply &reply)
 {
+    if (world.session)
+        world.transcript.push_back(replyLine(world, reply));
     if (std::getenv("FOXWING_TRACE"))
         std::printf("%9.3f reply %s %s %s\n", toMilliseconds(world.now.time_since_epoch()),
                     reply.submission.c_str(), toString(reply.answer.outcome),
@@ -591,7 +647,8 @@
         Process &process = world.processes.at(task.process);
         if (!process.agent || process.incarnation != task.incarnation)
             continue;
-        const bool fails = world.chaos && chance(world, 0.03);
+        const bool fails = std::exchange(world.failNext, false)
+                || (world.chaos && chance(world, 0.03));
         carryOut(world, process,
                  agent::endpointDone(*process.agent, task.ref,
                                      fails ? agent::TaskEnd::Failed : agent::TaskEnd::Succeeded,
@@ -628,8 +685,10 @@
         Process &process = found->second;
         if (world.now < process.pausedUntil)
             process.heldBack.push_back(delivery);
-        else
+        else {
+            record(world, delivery.from, delivery.to, delivery.message);
             receive(world, process, delivery.message);
+        }
         commitProposals(world);
     }
     world.now = until;
@@ -647,8 +706,10 @@
             continue;
         std::vector<Delivery> held;
         held.swap(process.heldBack);
-        for (const Delivery &delivery : held)
+        for (const Delivery &delivery : held) {
+            record(world, delivery.from, delivery.to, delivery.message);
             receive(world, process, delivery.message);
+        }
         tickProcess(world, process);
     }
 }
@@ -674,6 +735,14 @@
         world.works.push_back(makeWork(world, i));
 }
 
+void advanceWorld(World &world, Time until)
+{
+    while (world.now < until) {
+        deliverDue(world, std::min(until, world.now + TickInterval));
+        tickWorld(world);
+    }
+}
+
 void actRandomly(World &world)
 {
     const auto number = static_cast<std::size_t>(between(world, 0, SubmissionCount - 1));
@@ -750,4 +819,142 @@
     return world.report;
 }
 
+// [SECTION] Sessions
+
+Session::Session()
+    : m_world(std::make_unique<World>())
+{
+    m_world->random.seed(1);
+    m_world->chaos = false;
+    m_world->session = true;
+    m_world->now = Time(Milliseconds(1000));
+    setUp(*m_world);
+    m_world->works.clear();
+    for (auto &item : m_world->processes)
+        item.second.skew = Milliseconds(0);
+    advance(Milliseconds(3000));
+    m_world->transcript.clear();
+}
+
+Session::~Session() = default;
+
+std::size_t Session::submit(const std::string &entry, std::size_t tasks, Milliseconds taskTime,
+                            Milliseconds deadline)
+{
+    World &world = *m_world;
+    const std::size_t number = world.works.size();
+    Work work;
+    work.request.team = "team0";
+    work.request.service = ServiceName;
+    work.request.workClass = "class";
+    work.request.timeLeft = deadline;
+    work.request.payloads.assign(tasks, "once");
+    work.request.digest = "digest " + std::to_string(number);
+    const WallTime wall = wallOf(world, world.processes.at(entry));
+    work.request.submission = makeSubmissionId(wall, world.random);
+    world.works.push_back(work);
+    world.taskTime = taskTime;
+    submitAgain(entry, number);
+    return number;
+}
+
+namespace {
+
+void submitTo(World &world, const std::string &name, std::size_t number,
+              entry::SubmitRequest request)
+{
+    Process &process = world.processes.at(name);
+    request.waiter = world.nextWaiter++;
+    world.waiting[request.waiter] = { number, name, process.incarnation,
+                                      world.now + request.timeLeft, false };
+    world.transcript.push_back("caller submits " + std::to_string(number) + " at " + name);
+    carryOut(world, process,
+             entry::submit(*process.entry, request, world.now, wallOf(world, process)));
+}
+
+} // namespace
+
+void Session::submitAgain(const std::string &entry, std::size_t number)
+{
+    submitTo(*m_world, entry, number, m_world->works[number].request);
+}
+
+void Session::submitOtherBody(const std::string &entry, std::size_t number)
+{
+    entry::SubmitRequest request = m_world->works[number].request;
+    request.digest = "another digest";
+    submitTo(*m_world, entry, number, request);
+}
+
+namespace {
+
+void lookUpAt(World &world, const std::string &name, std::size_t number, bool cancelling)
+{
+    Process &process = world.processes.at(name);
+    const entry::SubmitRequest &request = world.works[number].request;
+    const entry::WaiterId waiter = world.nextWaiter++;
+    const Time deadline = world.now + Milliseconds(2000);
+    world.waiting[waiter] = { number, name, process.incarnation, deadline, true };
+    world.transcript.push_back(std::string("caller ") + (cancelling ? "cancels " : "fetches ")
+                               + std::to_string(number) + " at " + name);
+    const WallTime wall = wallOf(world, process);
+    carryOut(world, process,
+             cancelling ? entry::cancel(*process.entry, waiter, request.team, request.submission,
+                                        deadline, world.now, wall)
+                        : entry::fetch(*process.entry, waiter, request.team, request.submission,
+                                       deadline, world.now, wall));
+}
+
+} // namespace
+
+void Session::fetch(const std::string &entry, std::size_t number)
+{
+    lookUpAt(*m_world, entry, number, false);
+}
+
+void Session::cancel(const std::string &entry, std::size_t number)
+{
+    lookUpAt(*m_world, entry, number, true);
+}
+
+void Session::crash(const std::string &process)
+{
+    m_world->transcript.push_back(process + " crashes");
+    foxwing::schedules::crash(*m_world, m_world->processes.at(process));
+    m_world->processes.at(process).restartAt = m_world->now + Seconds(60);
+}
+
+void Session::pause(const std::string &process, Milliseconds span)
+{
+    m_world->transcript.push_back(process + " stands still");
+    m_world->processes.at(process).pausedUntil = m_world->now + span;
+}
+
+void Session::leave(const std::string &agent)
+{
+    m_world->transcript.push_back(agent + " leaves");
+    Process &process = m_world->processes.at(agent);
+    carryOut(*m_world, process, agent::leave(*process.agent, m_world->now));
+}
+
+void Session::failNextTask()
+{
+    m_world->failNext = true;
+}
+
+void Session::advance(Milliseconds span)
+{
+    advanceWorld(*m_world, m_world->now + span);
+}
+
+std::vector<std::string> Session::transcript() const
+{
+    return m_world->transcript;
+}
+
+Report Session::report() const
+{
+    return m_world->report;
+}
+
 } // namespace foxwing::schedules
--- a/tests/schedules/world.h
+++ b/tests/schedules/world.h
@@ -10,10 +10,13 @@
 
     [SECTION] Report
     [SECTION] Function
+    [SECTION] Sessions
 */
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -43,4 +46,39 @@
 // Runs one schedule; the same seed gives the same schedule.
 Report runSchedule(std::uint64_t seed);
 
+// [SECTION] Sessions
+
+struct World;
+
+// The same world without chaos, driven by hand: for golden files and traces. The transcript has one
+// line for each message that is delivered and each reply; beats, views, leases and reports of load
+// are left out.
+class Session
+{
+public:
+    Session();
+    ~Session();
+
+    // Submits at an entry ("entry0") and gives the number of the submission. A number of an earlier
+    // submission submits the same again.
+    std::size_t submit(const std::string &entry, std::size_t tasks,
+                       std::chrono::milliseconds taskTime, std::chrono::milliseconds deadline);
+    void submitAgain(const std::string &entry, std::size_t number);
+    void submitOtherBody(const std::string &entry, std::size_t number);
+    void fetch(const std::string &entry, std::size_t number);
+    void cancel(const std::string &entry, std::size_t number);
+
+    void crash(const std::string &process);
+    void pause(const std::string &process, std::chrono::milliseconds span);
+    void leave(const std::string &agent);
+    void failNextTask();
+    void advance(std::chrono::milliseconds span);
+
+    std::vector<std::string> transcript() const;
+    Report report() const;
+
+private:
+    std::unique_ptr<World> m_world;
+};
+
 } // namespace foxwing::schedules
