--- a/apps/foxwing/loadcommand.cpp
+++ b/apps/foxwing/loadcommand.cpp
@@ -33,6 +33,55 @@
     return std::chrono::duration_cast<Microseconds>(Clock::now() - start);
 }
 
+// Asks entries whether they are ready, as the platform's balancer does.
+class Balancer
+{
+public:
+    Balancer(const std::vector<std::string> &urls, bool follow)
+        : m_ready(urls.size())
+    {
+        for (std::atomic<bool> &ready : m_ready)
+            ready = true;
+        for (std::size_t i = 0; follow && i < urls.size(); ++i)
+            m_threads.emplace_back([this, i, url = urls[i]] { watch(i, url); });
+    }
+
+    ~Balancer()
+    {
+        m_stopping = true;
+        for (std::thread &thread : m_threads)
+            thread.join();
+    }
+
+    // The first ready entry from this one on; this one if none is.
+    std::size_t pick(std::size_t wanted) const
+    {
+        for (std::size_t i = 0; i < m_ready.size(); ++i) {
+            const std::size_t at = (wanted + i) % m_ready.size();
+            if (m_ready[at])
+                return at;
+        }
+        return wanted % m_ready.size();
+    }
+
+private:
+    void watch(std::size_t number, const std::string &url)
+    {
+        constexpr Milliseconds Interval { 200 };
+        edge::HttpClientSettings settings;
+        settings.timeout = Milliseconds(1000);
+        edge::HttpClient client(url, settings);
+        while (!m_stopping) {
+            m_ready[number] = client.callAndWait("GET", "/readyz", {}, {}).status == 200;
+            std::this_thread::sleep_for(Interval);
+        }
+    }
+
+    std::vector<std::atomic<bool>> m_ready;
+    std::atomic<bool> m_stopping { false };
+    std::vector<std::thread> m_threads;
+};
+
 // One run of an experiment: sends what is planned and checks every answer.
 class LoadRun
 {
@@ -41,6 +90,7 @@
         : m_experiment(experiment)
         , m_plan(std::move(plan))
         , m_random(experiment.seed)
+        , m_balancer(experiment.urls, experiment.followReady)
     {
         edge::HttpClientSettings settings;
         settings.timeout = Milliseconds(300000);
@@ -117,9 +167,9 @@
                 std::chrono::system_clock::now());
         const bool needsId = !mix.request || job.resubmit || job.cancel;
         const std::string id = needsId ? makeSubmissionId(wall, m_random) : std::string();
-        send({ number, id, number % m_clients.size(), Clock::now(), false });
+        send({ number, id, m_balancer.pick(number), Clock::now(), false });
         if (job.resubmit)
-            send({ number, id, (number + 1) % m_clients.size(), Clock::now(), true });
+            send({ number, id, m_balancer.pick(number + 1), Clock::now(), true });
         if (job.cancel)
             cancel(id, number);
     }
@@ -140,9 +190,9 @@
     void cancel(const std::string &id, std::size_t number)
     {
         const load::Mix &mix = m_experiment.mixes[m_plan[number].mix];
-        m_clients[number % m_clients.size()]->call("DELETE", "/v1/jobs/" + id, {},
-                                                   { { "Authorization", "Bearer " + mix.token } },
-                                                   [](edge::HttpReply &&) {});
+        m_clients[m_balancer.pick(number)]->call("DELETE", "/v1/jobs/" + id, {},
+                                                 { { "Authorization", "Bearer " + mix.token } },
+                                                 [](edge::HttpReply &&) {});
     }
 
     void take(const Sent &sent, const edge::HttpReply &reply)
@@ -192,6 +242,7 @@
     const load::Experiment &m_experiment;
     std::vector<load::PlannedJob> m_plan;
     std::mt19937_64 m_random;
+    Balancer m_balancer;
     std::vector<std::unique_ptr<edge::HttpClient>> m_clients;
     std::mutex m_mutex;
     std::condition_variable m_idle;
--- a/packages/entry/include/foxwing/entry/entry.h
+++ b/packages/entry/include/foxwing/entry/entry.h
@@ -232,28 +232,25 @@
 
 // Waits for the answer of an earlier submission of the same team.
 EntryActions fetch(EntryState &entry, WaiterId waiter, const std::string &team,
-                   const std::string &submission, Time deadline, Time now, WallTime wallNow);
+                   const std::string &submission, Time deadline, Time now);
 
 // Cancels an earlier submission of the same team, and waits for its answer.
 EntryActions cancel(EntryState &entry, WaiterId waiter, const std::string &team,
-                    const std::string &submission, Time deadline, Time now, WallTime wallNow);
+                    const std::string &submission, Time deadline, Time now);
 
 // The caller has gone. Its work goes on: it may come back for the answer.
 void abandon(EntryState &entry, WaiterId waiter);
 
-EntryActions handleAgent(EntryState &entry, const agent::FromAgent &message, Time now,
-                         WallTime wallNow);
+EntryActions handleAgent(EntryState &entry, const agent::FromAgent &message, Time now);
 EntryActions handleClaim(EntryState &entry, const claims::ClaimMessage &message, Time now,
                          WallTime wallNow);
-EntryActions handleEntry(EntryState &entry, const EntryMessage &message, Time now,
-                         WallTime wallNow);
+EntryActions handleEntry(EntryState &entry, const EntryMessage &message, Time now);
 
 // The shell could not deliver this message, or does not know.
-EntryActions sendFailed(EntryState &entry, const agent::ToAgent &message, Time now,
-                        WallTime wallNow);
+EntryActions sendFailed(EntryState &entry, const agent::ToAgent &message, Time now);
 
 // Control's word: a newer view of the entries.
-EntryActions setView(EntryState &entry, const claims::View &view, Time now, WallTime wallNow);
+EntryActions setView(EntryState &entry, const claims::View &view, Time now);
 
 EntryActions tick(EntryState &entry, Time now, WallTime wallNow);
 
--- a/packages/entry/src/entry.cpp
+++ b/packages/entry/src/entry.cpp
@@ -2,11 +2,8 @@
     The entry's decisions.
 
     [SECTION] Carrying actions on
-    [SECTION] Admission
-    [SECTION] Claims
-    [SECTION] Ends of jobs
+    [SECTION] Submissions
     [SECTION] Time
-    [SECTION] Other entries
     [SECTION] Entry points
 */
 #include <foxwing/entry/entry.h>
@@ -16,6 +13,7 @@
 #include <foxwing/base/digest.h>
 #include <foxwing/base/submissionid.h>
 
+#include "internal.h"
 #include "joining.h"
 
 namespace foxwing::entry {
@@ -28,10 +26,9 @@
 // Nonces of one life begin where no earlier life can have come.
 constexpr int NonceBits = 20;
 
-// [SECTION] Carrying actions on
+} // namespace
 
-void endJobs(EntryState &entry, const std::vector<std::string> &keys, Time now,
-             EntryActions &actions);
+// [SECTION] Carrying actions on
 
 void carry(EntryState &entry, dispatch::Actions &&from, Time now, EntryActions &actions)
 {
@@ -46,121 +43,36 @@
         actions.sends.push_back({ std::move(send.to), std::move(send.message) });
 }
 
-// [SECTION] Admission
+// [SECTION] Submissions
 
-std::string keyOf(const std::string &team, const std::string &submission)
-{
-    return team + "/" + submission;
-}
-
-dispatch::Answer refused(Error error)
-{
-    dispatch::Answer answer;
-    answer.outcome = error.outcome;
-    answer.error = std::move(error);
-    return answer;
-}
-
-// Why this entry can take nothing at present. An id may be running elsewhere, so only work without
-// one is certain not to run; the same id is welcome at any other entry.
-std::optional<Error> outOfService(const EntryState &entry, const SubmitRequest &request, Time now)
-{
-    const Outcome outcome = request.submission.empty() ? Outcome::NotRun : Outcome::Unknown;
-    if (entry.leaving)
-        return Error { ErrorKind::Leaving, "this entry is stopping; send the same to another one",
-                       outcome, Milliseconds { 100 } };
-    if (!configured(entry, now))
-        return Error {
-            ErrorKind::NotReady,
-            "this entry could not confirm its configuration; send the same to another one", outcome,
-            Milliseconds { 1000 }
-        };
-    return std::nullopt;
-}
-
-// What is wrong with a request by itself. It can't have been accepted before.
-std::optional<Error> invalid(const EntryState &entry, const SubmitRequest &request,
-                             WallTime wallNow)
+void runHere(EntryState &entry, const std::string &key, Pending &pending, Time now,
+             EntryActions &actions)
 {
-    const auto found = entry.directory.services.find(request.service);
-    if (found == entry.directory.services.end())
-        return Error { ErrorKind::NotFound,
-                       "there is no service \"" + request.service
-                               + "\"; look at the services with: foxwing show service",
-                       Outcome::NotRun, Milliseconds { 0 } };
-    const Service &service = found->second;
-    Error error { ErrorKind::CanNeverRun, {}, Outcome::NotRun, Milliseconds { 0 } };
-    if (request.payloads.empty() || request.payloads.size() > service.mostTasks) {
-        error.message = "a submission to " + service.name + " must have 1 to "
-                + std::to_string(service.mostTasks) + " tasks; split the job";
-        return error;
-    }
-    for (const std::string &payload : request.payloads) {
-        if (payload.size() <= service.mostPayloadBytes)
-            continue;
-        error.message = "a payload may have at most " + std::to_string(service.mostPayloadBytes)
-                + " bytes; pass a reference to the data instead";
-        return error;
-    }
-    if (request.declaredTime > service.longestTime) {
-        error.message = "a task may take at most "
-                + std::to_string(std::chrono::duration_cast<Milliseconds>(service.longestTime)
-                                         .count())
-                + " ms; split the work";
-        return error;
-    }
-    if (request.declaredTime > request.timeLeft) {
-        error.kind = ErrorKind::DeadlineUnreachable;
-        error.message = "the declared time is longer than the deadline; allow more time";
-        return error;
-    }
-    if (request.submission.empty())
-        return std::nullopt;
-    const std::optional<WallTime> made = submissionTime(request.submission, &error);
-    if (!made)
-        return error;
-    if (*made > wallNow + entry.settings.claims.clockSkew) {
-        error.kind = ErrorKind::BadRequest;
-        error.message = "the submission id is from the future; set the clock of the caller's host";
-        return error;
-    }
-    return std::nullopt;
+    pending.state = PendingState::Running;
+    const dispatch::JobSpec spec = jobSpec(key, pending.request, pending.deadline);
+    std::vector<std::string>().swap(pending.request.payloads);
+    carry(entry, dispatch::submitJob(entry.dispatcher, spec, pending.epoch, now), now, actions);
 }
 
-dispatch::JobSpec jobSpec(const std::string &key, const SubmitRequest &request, Time deadline)
+void startAsking(EntryState &entry, const std::string &key, Pending &pending, Time now,
+                 EntryActions &actions)
 {
-    dispatch::JobSpec spec;
-    spec.key = key;
-    spec.team = request.team;
-    spec.service = request.service;
-    spec.workClass = request.workClass;
-    spec.payloads = request.payloads;
-    spec.declaredTime = request.declaredTime;
-    spec.deadline = deadline;
-    spec.repeatable = request.repeatable;
-    spec.request = request.request;
-    return spec;
+    entry.watched.push_back(key);
+    sendAsk(entry, key, pending, now, actions);
 }
 
-Pending &addPending(EntryState &entry, const std::string &key, const SubmitRequest &request,
-                    Time deadline)
+// The owner is gone: with the body in hand this entry can take the job over.
+void askAnew(EntryState &entry, const std::string &key, Pending &pending, Time now,
+             EntryActions &actions)
 {
-    Pending &pending = entry.pending[key];
-    pending.request = request;
-    pending.deadline = deadline;
+    pending.state = PendingState::Asking;
+    pending.handedOff = false;
     pending.nonce = entry.nextNonce++;
     pending.sendWait = entry.settings.askInterval;
-    return pending;
+    sendAsk(entry, key, pending, now, actions);
 }
 
-void runHere(EntryState &entry, const std::string &key, Pending &pending, Time now,
-             EntryActions &actions)
-{
-    pending.state = PendingState::Running;
-    const dispatch::JobSpec spec = jobSpec(key, pending.request, pending.deadline);
-    std::vector<std::string>().swap(pending.request.payloads);
-    carry(entry, dispatch::submitJob(entry.dispatcher, spec, pending.epoch, now), now, actions);
-}
+namespace {
 
 // A single request without an id needs no claim: nobody can ask for it twice.
 void submitAnonymous(EntryState &entry, SubmitRequest request, const std::optional<Error> &refusal,
@@ -179,38 +91,6 @@
     runHere(entry, key, pending, now, actions);
 }
 
-// The peer that should own this submission; none if this entry should.
-std::optional<claims::Replica> otherOwner(EntryState &entry, const SubmitRequest &request, Time now)
-{
-    const std::string owner = chooseOwner(entry.placement, request.service,
-                                          dispatch::serviceLoad(entry.dispatcher, request.service),
-                                          static_cast<std::uint32_t>(request.payloads.size()), now);
-    for (const claims::Member &member : entry.claims.view.members) {
-        if (member.replica.id == owner && owner != entry.settings.self.id)
-            return member.replica;
-    }
-    return std::nullopt;
-}
-
-// Gives the submission to another entry. A request without an id gets one, so that the other entry
-// can't run it twice whatever the network does.
-void handOff(EntryState &entry, SubmitRequest request, const claims::Replica &owner, Time now,
-             WallTime wallNow, EntryActions &actions)
-{
-    if (request.submission.empty())
-        request.submission = makeSubmissionId(wallNow, entry.random);
-    ++entry.counters.handoffs;
-    const std::string key = keyOf(request.team, request.submission);
-    Pending &pending = addPending(entry, key, request, now + request.timeLeft);
-    pending.state = PendingState::Joined;
-    pending.handedOff = true;
-    pending.owner = owner;
-    pending.sendWait = entry.settings.joinInterval;
-    addWaiter(entry, pending, request.waiter);
-    entry.watched.push_back(key);
-    sendJoin(entry, key, pending, now, actions);
-}
-
 // Joins work of this entry that has the same key. False if there is none.
 bool joinLocal(EntryState &entry, const std::string &key, WaiterId waiter,
                const std::string &digest, EntryActions &actions)
@@ -252,207 +132,33 @@
     return true;
 }
 
-void startAsking(EntryState &entry, const std::string &key, Pending &pending, Time now,
-                 EntryActions &actions)
-{
-    entry.watched.push_back(key);
-    sendAsk(entry, key, pending, now, actions);
-}
-
-// [SECTION] Claims
-
-// An agent that control took for dead goes on for a while if it was only cut off.
-bool mayHaveStarted(const EntryState &entry, const KnownAgent &known, const Pending &pending)
-{
-    const Milliseconds span = entry.settings.configurationLease + entry.settings.claims.clockSkew;
-    return known.service == pending.request.service
-            && (known.live || known.lostAt + span.count() >= pending.claimedAt);
-}
-
-void adopt(EntryState &entry, const std::string &key, Pending &pending, Time now,
-           EntryActions &actions)
-{
-    const std::int64_t skew = entry.settings.claims.clockSkew.count();
-    pending.state = PendingState::Running;
-    dispatch::Takeover takeover;
-    takeover.claimedAt = pending.claimedAt - skew;
-    takeover.hasGaps = entry.agents.since >= takeover.claimedAt;
-    for (const KnownAgent &known : entry.agents.agents) {
-        if (mayHaveStarted(entry, known, pending))
-            takeover.agents.push_back(known.id);
-    }
-    const dispatch::JobSpec spec = jobSpec(key, pending.request, pending.deadline);
-    carry(entry, dispatch::adoptJob(entry.dispatcher, spec, pending.epoch, takeover, now), now,
-          actions);
-}
-
-// A takeover asks every agent, so the list of them must be from after the claim was taken over: an
-// agent that joined just before may have worked for the lost owner.
-void awaitAgents(EntryState &entry, const claims::AskAnswer &answer, Pending &pending, Time now)
-{
-    pending.state = PendingState::Refreshing;
-    pending.grantedAt = now;
-    pending.claimedAt = answer.claimedAt;
-    entry.beatWanted = true;
-}
-
-void takeOwned(EntryState &entry, const std::string &key, Pending &pending,
-               const claims::AskAnswer &answer, Time now, EntryActions &actions)
-{
-    if (answer.owner == entry.settings.self) {
-        const dispatch::Job *job = dispatch::findJob(entry.dispatcher, key);
-        const dispatch::Answer kept = job && job->state == dispatch::JobState::Ended
-                ? job->answer
-                : makeAnswer(Outcome::Unknown, ErrorKind::Expired,
-                             "the answer is no longer kept; check the effects of the work");
-        return conclude(entry, key, kept, actions);
-    }
-    ++entry.counters.joins;
-    pending.state = PendingState::Joined;
-    pending.owner = answer.owner;
-    pending.sendWait = entry.settings.joinInterval;
-    sendJoin(entry, key, pending, now, actions);
-}
-
-void takeGrant(EntryState &entry, const std::string &key, Pending &pending,
-               const claims::AskAnswer &answer, Time now, EntryActions &actions)
-{
-    pending.epoch = answer.epoch;
-    // A grant for what this very life has run already can only come of a fault elsewhere.
-    if (dispatch::findJob(entry.dispatcher, key))
-        return takeOwned(entry, key, pending, answer, now, actions);
-    if (answer.epoch > 1)
-        awaitAgents(entry, answer, pending, now);
-    else
-        runHere(entry, key, pending, now, actions);
-}
-
-dispatch::Answer verdictAnswer(const Pending &pending, claims::Verdict verdict)
-{
-    switch (verdict) {
-    case claims::Verdict::Conflict:
-        return makeAnswer(Outcome::NotRun, ErrorKind::Conflict,
-                          "this submission id was used with another body; make a new id for each "
-                          "submission");
-    case claims::Verdict::NotRun:
-        if (pending.refusal.kind != ErrorKind::None)
-            return refused(pending.refusal);
-        return makeAnswer(Outcome::NotRun, ErrorKind::Unavailable,
-                          "this submission ended as \"not run\"; submit the work with a new id");
-    case claims::Verdict::Absent:
-        return makeAnswer(Outcome::NotRun, ErrorKind::NotFound,
-                          "there is no such submission; check the id, or submit it");
-    case claims::Verdict::OwnerLost:
-        return makeAnswer(Outcome::Unknown, ErrorKind::Unavailable,
-                          "the entry that had this is lost; submit the same id and body again and "
-                          "another entry takes it over");
-    default:
-        return makeAnswer(Outcome::Unknown, ErrorKind::ClaimUnknown,
-                          "foxwing no longer knows whether this id ran; check its effects, and use "
-                          "a new id if it did not");
-    }
-}
-
-// Nobody here waits for this grant any more, so it must end as "not run".
-void giveBackLateGrant(EntryState &entry, const claims::AskAnswer &answer, EntryActions &actions)
-{
-    // What was taken over from a lost owner may have run, so only a first grant can be given back.
-    if (answer.verdict != claims::Verdict::Granted || answer.epoch != 1)
-        return;
-    std::deque<AbandonedAsk> &asks = entry.abandonedAsks;
-    const auto found = std::find_if(asks.begin(), asks.end(), [&](const AbandonedAsk &ask) {
-        return ask.job == answer.job && ask.nonce == answer.nonce;
-    });
-    if (found == asks.end())
-        return;
-    asks.erase(found);
-    const claims::Release release { entry.settings.self, answer.job, answer.epoch };
-    actions.sends.push_back(
-            { claims::homeOf(entry.claims, answer.job).id, claims::ClaimMessage(release) });
-}
-
-void takeVerdict(EntryState &entry, const claims::AskAnswer &answer, Time now,
-                 EntryActions &actions)
-{
-    const auto found = entry.pending.find(answer.job);
-    const bool awaited = found != entry.pending.end() && found->second.state == PendingState::Asking
-            && found->second.nonce == answer.nonce;
-    // A late answer to an earlier life of this entry can carry the same nonce.
-    if (answer.verdict == claims::Verdict::Granted && !(answer.owner == entry.settings.self))
-        return;
-    if (!awaited)
-        return giveBackLateGrant(entry, answer, actions);
-    Pending &pending = found->second;
-    if (answer.verdict == claims::Verdict::Retry)
-        return; // asked again when due
-    if (answer.verdict == claims::Verdict::Granted)
-        return takeGrant(entry, answer.job, pending, answer, now, actions);
-    if (answer.verdict == claims::Verdict::Owned)
-        return takeOwned(entry, answer.job, pending, answer, now, actions);
-    if (pending.refusal.kind != ErrorKind::None)
-        ++entry.counters.refusals;
-    conclude(entry, answer.job, verdictAnswer(pending, answer.verdict), actions);
-}
-
-void takeReleased(EntryState &entry, const claims::Released &released, EntryActions &actions)
-{
-    const auto found = entry.pending.find(released.job);
-    const bool awaited = found != entry.pending.end()
-            && found->second.state == PendingState::Releasing
-            && found->second.epoch == released.epoch;
-    if (!awaited)
-        return;
-    dispatch::Answer &kept = entry.dispatcher.jobs.at(released.job).answer;
-    if (!released.stillOwner)
-        kept = makeAnswer(Outcome::Unknown, ErrorKind::WorkerLost,
-                          "another entry has taken this over; ask again with the same id");
-    conclude(entry, released.job, dispatch::Answer(kept), actions);
-}
-
-// [SECTION] Ends of jobs
-
-// An anonymous request has no claim that could be taken over.
-bool hasClaim(const Pending &pending)
-{
-    return pending.request.submission.compare(0, 1, "~") != 0;
-}
-
-void endJob(EntryState &entry, const std::string &key, Time now, EntryActions &actions)
+void lookUp(EntryState &entry, WaiterId waiter, const std::string &team,
+            const std::string &submission, bool cancelling, Time deadline, Time now,
+            EntryActions &actions)
 {
-    const auto found = entry.pending.find(key);
-    if (found == entry.pending.end())
-        return;
-    Pending &pending = found->second;
-    const dispatch::Answer &answer = entry.dispatcher.jobs.at(key).answer;
-    if (answer.outcome != Outcome::NotRun || !hasClaim(pending))
-        return conclude(entry, key, answer, actions);
-    pending.state = PendingState::Releasing;
-    pending.releaseUntil = now + entry.settings.releaseSpan;
-    pending.sendWait = entry.settings.askInterval;
-    entry.watched.push_back(key);
-    sendRelease(entry, key, pending, now, actions);
+    SubmitRequest request;
+    request.waiter = waiter;
+    request.team = team;
+    request.submission = submission;
+    const std::string key = keyOf(team, submission);
+    Pending &pending = addPending(entry, key, request, deadline);
+    pending.lookOnly = true;
+    pending.cancel = cancelling;
+    addWaiter(entry, pending, waiter);
+    startAsking(entry, key, pending, now, actions);
 }
 
-void endJobs(EntryState &entry, const std::vector<std::string> &keys, Time now,
-             EntryActions &actions)
+bool answerEnded(EntryState &entry, const std::string &key, WaiterId waiter, EntryActions &actions)
 {
-    for (const std::string &key : keys)
-        endJob(entry, key, now, actions);
+    const dispatch::Job *job = dispatch::findJob(entry.dispatcher, key);
+    if (!job || job->state != dispatch::JobState::Ended || entry.pending.count(key) != 0)
+        return false;
+    reply(entry, waiter, key, job->answer, actions);
+    return true;
 }
 
 // [SECTION] Time
 
-// The owner is gone: with the body in hand this entry can take the job over.
-void askAnew(EntryState &entry, const std::string &key, Pending &pending, Time now,
-             EntryActions &actions)
-{
-    pending.state = PendingState::Asking;
-    pending.handedOff = false;
-    pending.nonce = entry.nextNonce++;
-    pending.sendWait = entry.settings.askInterval;
-    sendAsk(entry, key, pending, now, actions);
-}
-
 void giveUp(EntryState &entry, const std::string &key, Pending &pending, EntryActions &actions)
 {
     if (pending.state == PendingState::Releasing)
@@ -516,102 +222,6 @@
     }
 }
 
-// [SECTION] Other entries
-
-SubmitRequest requestOf(const Handoff &handoff)
-{
-    SubmitRequest request;
-    request.team = handoff.team;
-    request.submission = handoff.submission;
-    request.digest = handoff.digest;
-    request.service = handoff.service;
-    request.workClass = handoff.workClass;
-    request.payloads = handoff.payloads;
-    request.declaredTime = handoff.declaredTime;
-    request.timeLeft = handoff.timeLeft;
-    request.repeatable = handoff.repeatable;
-    request.request = handoff.request;
-    return request;
-}
-
-// Work that a peer hands to this entry. It is claimed like any other and never handed on.
-void takeHandoff(EntryState &entry, const Handoff &handoff, Time now, EntryActions &actions)
-{
-    const std::string key = keyOf(handoff.team, handoff.submission);
-    const dispatch::Job *job = dispatch::findJob(entry.dispatcher, key);
-    if (job || entry.pending.count(key) != 0)
-        return handleJoin(entry, { handoff.from, key, false }, actions);
-    if (entry.leaving) {
-        const JoinAnswer leaving { key, Outcome::Unknown, {}, ErrorKind::Leaving, {} };
-        actions.sends.push_back({ handoff.from, EntryMessage(leaving) });
-        return;
-    }
-    const SubmitRequest request = requestOf(handoff);
-    const Time deadline = now + request.timeLeft;
-    const std::optional<Error> refusal = dispatch::refuseJob(entry.dispatcher,
-                                                             jobSpec(key, request, deadline), now);
-    Pending &pending = addPending(entry, key, request, deadline);
-    pending.joinedBy.push_back(handoff.from);
-    if (refusal)
-        pending.refusal = *refusal;
-    startAsking(entry, key, pending, now, actions);
-}
-
-void takeJoinAnswer(EntryState &entry, const JoinAnswer &joined, Time now, EntryActions &actions)
-{
-    const auto found = entry.pending.find(joined.job);
-    if (found == entry.pending.end() || found->second.state != PendingState::Joined)
-        return;
-    Pending &pending = found->second;
-    if (joined.kind == ErrorKind::Leaving && pending.handedOff)
-        return askAnew(entry, joined.job, pending, now, actions);
-    dispatch::Answer answer = makeAnswer(joined.outcome, joined.kind, joined.message);
-    answer.results = joined.results;
-    conclude(entry, joined.job, answer, actions);
-}
-
-// Tells the peers how busy this entry is, and moves a worker if that helps.
-void balance(EntryState &entry, Time now, EntryActions &actions)
-{
-    const auto report = dueReport(entry.placement, entry.dispatcher, entry.leaving, now);
-    if (report) {
-        for (const claims::Member &member : entry.claims.view.members) {
-            if (member.replica.id != entry.settings.self.id)
-                actions.sends.push_back({ member.replica.id, EntryMessage(*report) });
-        }
-    }
-    if (const auto advice = adviseYield(entry.placement, entry.dispatcher, now))
-        carry(entry,
-              dispatch::yieldWorker(entry.dispatcher, advice->service, advice->heir,
-                                    advice->heirDataCentre, advice->heirHasNone),
-              now, actions);
-}
-
-void lookUp(EntryState &entry, WaiterId waiter, const std::string &team,
-            const std::string &submission, bool cancelling, Time deadline, Time now,
-            EntryActions &actions)
-{
-    SubmitRequest request;
-    request.waiter = waiter;
-    request.team = team;
-    request.submission = submission;
-    const std::string key = keyOf(team, submission);
-    Pending &pending = addPending(entry, key, request, deadline);
-    pending.lookOnly = true;
-    pending.cancel = cancelling;
-    addWaiter(entry, pending, waiter);
-    startAsking(entry, key, pending, now, actions);
-}
-
-bool answerEnded(EntryState &entry, const std::string &key, WaiterId waiter, EntryActions &actions)
-{
-    const dispatch::Job *job = dispatch::findJob(entry.dispatcher, key);
-    if (!job || job->state != dispatch::JobState::Ended || entry.pending.count(key) != 0)
-        return false;
-    reply(entry, waiter, key, job->answer, actions);
-    return true;
-}
-
 } // namespace
 
 // [SECTION] Entry points
@@ -672,9 +282,8 @@
 }
 
 EntryActions fetch(EntryState &entry, WaiterId waiter, const std::string &team,
-                   const std::string &submission, Time deadline, Time now, WallTime wallNow)
+                   const std::string &submission, Time deadline, Time now)
 {
-    (void)wallNow;
     EntryActions actions;
     const std::string key = keyOf(team, submission);
     if (answerEnded(entry, key, waiter, actions))
@@ -685,9 +294,8 @@
 }
 
 EntryActions cancel(EntryState &entry, WaiterId waiter, const std::string &team,
-                    const std::string &submission, Time deadline, Time now, WallTime wallNow)
+                    const std::string &submission, Time deadline, Time now)
 {
-    (void)wallNow;
     EntryActions actions;
     const std::string key = keyOf(team, submission);
     if (answerEnded(entry, key, waiter, actions))
@@ -718,10 +326,8 @@
     entry.waiterJobs.erase(found);
 }
 
-EntryActions handleAgent(EntryState &entry, const agent::FromAgent &message, Time now,
-                         WallTime wallNow)
+EntryActions handleAgent(EntryState &entry, const agent::FromAgent &message, Time now)
 {
-    (void)wallNow;
     EntryActions actions;
     carry(entry, dispatch::handle(entry.dispatcher, message, now), now, actions);
     return actions;
@@ -740,9 +346,8 @@
     return actions;
 }
 
-EntryActions handleEntry(EntryState &entry, const EntryMessage &message, Time now, WallTime wallNow)
+EntryActions handleEntry(EntryState &entry, const EntryMessage &message, Time now)
 {
-    (void)wallNow;
     EntryActions actions;
     if (const auto *join = std::get_if<Join>(&message)) {
         if (join->cancel)
@@ -758,18 +363,15 @@
     return actions;
 }
 
-EntryActions sendFailed(EntryState &entry, const agent::ToAgent &message, Time now,
-                        WallTime wallNow)
+EntryActions sendFailed(EntryState &entry, const agent::ToAgent &message, Time now)
 {
-    (void)wallNow;
     EntryActions actions;
     carry(entry, dispatch::sendFailed(entry.dispatcher, message, now), now, actions);
     return actions;
 }
 
-EntryActions setView(EntryState &entry, const claims::View &view, Time now, WallTime wallNow)
+EntryActions setView(EntryState &entry, const claims::View &view, Time now)
 {
-    (void)wallNow;
     EntryActions actions;
     carry(claims::setView(entry.claims, view, now), actions);
     tickWatched(entry, now, actions);
--- a/packages/load/include/foxwing/load/experiment.h
+++ b/packages/load/include/foxwing/load/experiment.h
@@ -60,6 +60,9 @@
     // Entries, each asked in turn
     std::vector<std::string> urls;
 
+    // Send only to entries whose /readyz says so, as a balancer does
+    bool followReady = false;
+
     // Processes whose metrics are read before and after, to count messages
     std::vector<std::string> metricsUrls;
 
--- a/packages/load/src/experiment.cpp
+++ b/packages/load/src/experiment.cpp
@@ -77,6 +77,7 @@
     Experiment experiment;
     settings::TomlReader root(std::move(*document), path, reason);
     root.list("urls", experiment.urls);
+    root.flag("follow_ready", experiment.followReady);
     root.list("metrics_urls", experiment.metricsUrls);
     root.text("baseline_url", experiment.baselineUrl);
     root.whole("seed", experiment.seed, 0, INT64_MAX);
--- a/packages/metrics/include/foxwing/metrics/metrics.h
+++ b/packages/metrics/include/foxwing/metrics/metrics.h
@@ -70,6 +70,7 @@
 // One value that is kept elsewhere and only written here.
 struct Sample
 {
+    // With labels in braces if it has any; series of one name are to follow each other.
     std::string name;
     std::string help;
     double value = 0;
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -90,9 +90,15 @@
 std::string writeExposition(const Metrics &metrics, const std::vector<Sample> &samples)
 {
     std::ostringstream out;
+    std::string described;
     for (const Sample &sample : samples) {
-        out << "# HELP " << sample.name << " " << sample.help << "\n";
-        out << "# TYPE " << sample.name << (sample.gauge ? " gauge\n" : " counter\n");
+        // Series of one name follow each other and are described once.
+        const std::string name = sample.name.substr(0, sample.name.find('{'));
+        if (name != described) {
+            out << "# HELP " << name << " " << sample.help << "\n";
+            out << "# TYPE " << name << (sample.gauge ? " gauge\n" : " counter\n");
+        }
+        described = name;
         out << sample.name << " " << sample.value << "\n";
     }
     for (const auto &histogram : metrics.histograms) {
--- a/packages/metrics/tests/metrics_test.cpp
+++ b/packages/metrics/tests/metrics_test.cpp
@@ -38,6 +38,16 @@
     EXPECT_EQ(metrics.histograms.at("response_ms").at({ "a", "other" }).buckets[0], MostSeries);
 }
 
+TEST(Metrics, SeriesOfOneNameAreDescribedOnce)
+{
+    const std::string text = writeExposition({},
+                                             { { "slots{service=\"a\"}", "Slots", 1, true },
+                                               { "slots{service=\"b\"}", "Slots", 2, true } });
+    EXPECT_EQ(text,
+              "# HELP slots Slots\n# TYPE slots gauge\nslots{service=\"a\"} 1\n"
+              "slots{service=\"b\"} 2\n");
+}
+
 TEST(Metrics, LabelsAreEscaped)
 {
     Metrics metrics;
--- a/packages/node/src/agentrole.cpp
+++ b/packages/node/src/agentrole.cpp
@@ -104,13 +104,17 @@
                         static_cast<double>(m_state.unsettledBytes), true });
     samples.push_back({ "foxwing_agent_jobs_remembered", "Jobs that are remembered",
                         static_cast<double>(m_state.jobs.size()), true });
-    for (const auto &usage : m_state.usage) {
-        const std::string team = "{team=\"" + usage.first + "\"}";
-        samples.push_back({ "foxwing_agent_team_starts_total" + team, "Starts of a team",
-                            static_cast<double>(usage.second.starts), false });
-        samples.push_back({ "foxwing_agent_team_run_seconds_total" + team, "Run time of a team",
-                            static_cast<double>(usage.second.runTime.count()) / 1e6, false });
-    }
+    const auto ofTeams = [&](const char *name, const char *help, auto value) {
+        for (const auto &usage : m_state.usage)
+            samples.push_back({ std::string(name) + "{team=\"" + usage.first + "\"}", help,
+                                value(usage.second), false });
+    };
+    ofTeams("foxwing_agent_team_starts_total", "Starts of a team",
+            [](const agent::TeamUsage &usage) { return static_cast<double>(usage.starts); });
+    ofTeams("foxwing_agent_team_run_seconds_total", "Run time of a team",
+            [](const agent::TeamUsage &usage) {
+                return static_cast<double>(usage.runTime.count()) / 1e6;
+            });
 }
 
 } // namespace foxwing::node
--- a/packages/node/src/entryrole.cpp
+++ b/packages/node/src/entryrole.cpp
@@ -118,9 +118,9 @@
     const std::string &id = request.path[2];
     const entry::WaiterId waiter = addCaller(responder, id, span, { team, "look-up" });
     if (request.method == "DELETE")
-        carryOut(entry::cancel(m_state, waiter, team, id, now + span, now, wallClockNow()));
+        carryOut(entry::cancel(m_state, waiter, team, id, now + span, now));
     else
-        carryOut(entry::fetch(m_state, waiter, team, id, now + span, now, wallClockNow()));
+        carryOut(entry::fetch(m_state, waiter, team, id, now + span, now));
 }
 
 bool EntryRole::serve(const edge::HttpRequest &request, const edge::Responder &responder)
@@ -170,7 +170,7 @@
 
 void EntryRole::receive(const agent::FromAgent &message)
 {
-    carryOut(entry::handleAgent(m_state, message, steadyNow(), wallClockNow()));
+    carryOut(entry::handleAgent(m_state, message, steadyNow()));
 }
 
 void EntryRole::receive(const claims::ClaimMessage &message)
@@ -180,12 +180,12 @@
 
 void EntryRole::receive(const entry::EntryMessage &message)
 {
-    carryOut(entry::handleEntry(m_state, message, steadyNow(), wallClockNow()));
+    carryOut(entry::handleEntry(m_state, message, steadyNow()));
 }
 
 void EntryRole::sendFailed(const agent::ToAgent &message)
 {
-    carryOut(entry::sendFailed(m_state, message, steadyNow(), wallClockNow()));
+    carryOut(entry::sendFailed(m_state, message, steadyNow()));
 }
 
 void EntryRole::tick()
@@ -258,7 +258,7 @@
     if (update.view.number == 0)
         return;
     const std::uint64_t before = m_state.claims.view.number;
-    carryOut(entry::setView(m_state, update.view, steadyNow(), wallClockNow()));
+    carryOut(entry::setView(m_state, update.view, steadyNow()));
     if (m_state.claims.view.number != before)
         logChange(LogLevel::Info, "view",
                   { { "number", std::to_string(update.view.number) },
@@ -344,15 +344,17 @@
     gauge("foxwing_jobs_active", "Jobs that have not ended",
           dispatch::activeJobs(m_state.dispatcher));
     gauge("foxwing_answer_bytes", "Answers kept", m_state.dispatcher.answerBytes);
-    for (const auto &service : m_state.dispatcher.services) {
-        const std::string label = "{service=\"" + service.first + "\"}";
-        samples.push_back({ "foxwing_slots" + label, "Slots under lease",
-                            static_cast<double>(service.second.pool.slots), true });
-        samples.push_back({ "foxwing_queue_tasks" + label, "Tasks that wait",
-                            static_cast<double>(service.second.waitingTasks), true });
-        samples.push_back({ "foxwing_workers_out" + label, "Workers ejected or on trial",
-                            static_cast<double>(service.second.pool.health.ejected), true });
-    }
+    const auto ofServices = [&](const char *name, const char *help, auto value) {
+        for (const auto &service : m_state.dispatcher.services)
+            samples.push_back({ std::string(name) + "{service=\"" + service.first + "\"}", help,
+                                static_cast<double>(value(service.second)), true });
+    };
+    ofServices("foxwing_slots", "Slots under lease",
+               [](const dispatch::ServiceState &service) { return service.pool.slots; });
+    ofServices("foxwing_queue_tasks", "Tasks that wait",
+               [](const dispatch::ServiceState &service) { return service.waitingTasks; });
+    ofServices("foxwing_workers_out", "Workers ejected or on trial",
+               [](const dispatch::ServiceState &service) { return service.pool.health.ejected; });
 }
 
 } // namespace foxwing::node
--- a/tests/schedules/world.cpp
+++ b/tests/schedules/world.cpp
@@ -1,8 +1,6 @@
 /*
     The world of the schedule tests.
 
-    [SECTION] Size and faults
-    [SECTION] State
     [SECTION] Network
     [SECTION] Processes
     [SECTION] Callers
@@ -10,7 +8,7 @@
     [SECTION] Promises
     [SECTION] Run
 */
-#include "world.h"
+#include "worldstate.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -34,123 +32,6 @@
 
 namespace {
 
-using node::Message;
-
-// [SECTION] Size and faults
-
-constexpr std::uint32_t EntryCount = 3;
-constexpr std::uint32_t AgentCount = 3;
-constexpr std::uint32_t SubmissionCount = 6;
-constexpr Milliseconds ChaosSpan { 7000 };
-constexpr Milliseconds HealSpan { 18000 };
-constexpr Milliseconds TickInterval { 50 };
-constexpr Milliseconds BeatInterval { 400 };
-constexpr Milliseconds CommitDelay { 4 };
-constexpr std::int64_t WallStartMs = 1'796'000'000'000;
-constexpr char ServiceName[] = "svc";
-
-// [SECTION] State
-
-struct Delivery
-{
-    Time at {};
-    std::uint64_t order = 0;
-    std::string from;
-    std::string to;
-    Message message;
-
-    bool operator<(const Delivery &other) const
-    {
-        return at != other.at ? at > other.at : order > other.order;
-    }
-};
-
-// What every process has, whatever its role.
-struct Process
-{
-    std::string id;
-    bool up = false;
-    Time pausedUntil {};
-    Time restartAt {};
-    std::uint64_t incarnation = 0;
-    Milliseconds skew { 0 };
-    control::Reporter reporter;
-    Time nextBeat {};
-
-    // Exactly one of these, by role
-    std::unique_ptr<entry::EntryState> entry;
-    std::unique_ptr<agent::AgentState> agent;
-    std::unique_ptr<control::ControlState> control;
-    bool isEntry = false;
-    bool isAgent = false;
-
-    std::vector<Delivery> heldBack;
-};
-
-struct RunningTask
-{
-    Time endsAt {};
-    std::string process;
-    std::uint64_t incarnation = 0;
-    agent::TaskRef ref;
-};
-
-struct Proposal
-{
-    Time at {};
-    control::Command command;
-};
-
-// One piece of work that callers ask for, perhaps many times.
-struct Work
-{
-    entry::SubmitRequest request;
-    bool anonymous = false;
-};
-
-struct Waiting
-{
-    std::size_t work = 0;
-    std::string process;
-    std::uint64_t incarnation = 0;
-    Time deadline {};
-    bool lookUp = false;
-};
-
-} // namespace
-
-struct World
-{
-    std::mt19937_64 random;
-    Time now {};
-    std::uint64_t order = 0;
-    std::priority_queue<Delivery> network;
-    std::map<std::string, Process> processes;
-    std::vector<RunningTask> running;
-    std::vector<Proposal> proposals;
-    control::ClusterState durable;
-    std::set<std::string> cut;
-    bool chaos = true;
-
-    std::vector<Work> works;
-    std::map<entry::WaiterId, Waiting> waiting;
-    entry::WaiterId nextWaiter = 1;
-
-    // Starts that endpoints saw, by "job#task".
-    std::map<std::string, int> starts;
-    // Jobs of which somebody was told "not run".
-    std::set<std::string> saidNotRun;
-    Report report;
-
-    // Sessions only: the time of the next tasks, and whether one is to fail
-    bool session = false;
-    Milliseconds taskTime { 0 };
-    bool failNext = false;
-    std::vector<std::string> transcript;
-};
-
-namespace {
-
 bool chance(World &world, double probability)
 {
     return std::uniform_real_distribution<double>(0, 1)(world.random) < probability;
@@ -161,12 +42,16 @@
     return std::uniform_int_distribution<std::int64_t>(least, most)(world.random);
 }
 
+} // namespace
+
 WallTime wallOf(const World &world, const Process &process)
 {
     const auto passed = std::chrono::duration_cast<Milliseconds>(world.now.time_since_epoch());
     return WallTime(Milliseconds(WallStartMs) + passed + process.skew);
 }
 
+namespace {
+
 void violate(World &world, const std::string &what)
 {
     world.report.violations.push_back(what);
@@ -204,11 +89,13 @@
     // The sender learns that this one failed, as from a closed connection.
     Process &sender = world.processes.at(from);
     if (const auto toAgent = node::narrow<agent::ToAgent>(message); toAgent && sender.entry)
-        entry::sendFailed(*sender.entry, *toAgent, world.now, wallOf(world, sender));
+        entry::sendFailed(*sender.entry, *toAgent, world.now);
 }
 
 // [SECTION] Processes
 
+} // namespace
+
 void carryOut(World &world, Process &process, agent::AgentActions &&actions)
 {
     for (agent::Outgoing &send : actions.sends)
@@ -237,8 +124,12 @@
     }
 }
 
+namespace {
+
 void checkReply(World &world, const entry::Reply &reply);
 
+} // namespace
+
 void carryOut(World &world, Process &process, entry::EntryActions &&actions)
 {
     for (entry::Outgoing &send : actions.sends) {
@@ -250,6 +141,8 @@
         checkReply(world, reply);
 }
 
+namespace {
+
 void carryOut(World &world, Process &process, control::ControlActions &&actions)
 {
     for (control::Outgoing &send : actions.sends)
@@ -336,8 +229,7 @@
                     { hint.id, hint.service, hint.lostAt, hint.live });
     }
     if (update.view.number != 0)
-        carryOut(world, process,
-                 entry::setView(*process.entry, update.view, world.now, wallOf(world, process)));
+        carryOut(world, process, entry::setView(*process.entry, update.view, world.now));
 }
 
 // FOXWING_TRACE names a piece of text: every delivered message that has it is printed.
@@ -391,11 +283,11 @@
     } else if (process.entry) {
         entry::EntryState &state = *process.entry;
         if (const auto held = node::narrow<agent::FromAgent>(message))
-            carryOut(world, process, entry::handleAgent(state, *held, world.now, wall));
+            carryOut(world, process, entry::handleAgent(state, *held, world.now));
         else if (const auto claim = node::narrow<claims::ClaimMessage>(message))
             carryOut(world, process, entry::handleClaim(state, *claim, world.now, wall));
         else if (const auto other = node::narrow<entry::EntryMessage>(message))
-            carryOut(world, process, entry::handleEntry(state, *other, world.now, wall));
+            carryOut(world, process, entry::handleEntry(state, *other, world.now));
     } else if (const auto *beat = std::get_if<control::Beat>(&message)) {
         carryOut(world, process, control::handleBeat(*process.control, *beat, world.now, wall));
     }
@@ -496,16 +388,17 @@
     const entry::WaiterId waiter = world.nextWaiter++;
     const Time deadline = world.now + Milliseconds(2000);
     world.waiting[waiter] = { number, process.id, process.incarnation, deadline, true };
-    const WallTime wall = wallOf(world, process);
     carryOut(world, process,
              cancelling ? entry::cancel(*process.entry, waiter, request.team, request.submission,
-                                        deadline, world.now, wall)
+                                        deadline, world.now)
                         : entry::fetch(*process.entry, waiter, request.team, request.submission,
-                                       deadline, world.now, wall));
+                                       deadline, world.now));
 }
 
 // [SECTION] Faults
 
+} // namespace
+
 void crash(World &world, Process &process)
 {
     ++world.report.crashes;
@@ -524,6 +417,8 @@
         world.proposals.clear();
 }
 
+namespace {
+
 void breakSomething(World &world)
 {
     auto victim = world.processes.begin();
@@ -725,6 +620,8 @@
     startProcess(world, process);
 }
 
+} // namespace
+
 void setUp(World &world)
 {
     addProcess(world, "control", false, false);
@@ -744,6 +641,8 @@
     }
 }
 
+namespace {
+
 void actRandomly(World &world)
 {
     const auto number = static_cast<std::size_t>(between(world, 0, SubmissionCount - 1));
@@ -820,142 +719,4 @@
     return world.report;
 }
 
-// [SECTION] Sessions
-
-Session::Session()
-    : m_world(std::make_unique<World>())
-{
-    m_world->random.seed(1);
-    m_world->chaos = false;
-    m_world->session = true;
-    m_world->now = Time(Milliseconds(1000));
-    setUp(*m_world);
-    m_world->works.clear();
-    for (auto &item : m_world->processes)
-        item.second.skew = Milliseconds(0);
-    advance(Milliseconds(3000));
-    m_world->transcript.clear();
-}
-
-Session::~Session() = default;
-
-std::size_t Session::submit(const std::string &entry, std::size_t tasks, Milliseconds taskTime,
-                            Milliseconds deadline)
-{
-    World &world = *m_world;
-    const std::size_t number = world.works.size();
-    Work work;
-    work.request.team = "team0";
-    work.request.service = ServiceName;
-    work.request.workClass = "class";
-    work.request.timeLeft = deadline;
-    work.request.payloads.assign(tasks, "once");
-    work.request.digest = "digest " + std::to_string(number);
-    const WallTime wall = wallOf(world, world.processes.at(entry));
-    work.request.submission = makeSubmissionId(wall, world.random);
-    world.works.push_back(work);
-    world.taskTime = taskTime;
-    submitAgain(entry, number);
-    return number;
-}
-
-namespace {
-
-void submitTo(World &world, const std::string &name, std::size_t number,
-              entry::SubmitRequest request)
-{
-    Process &process = world.processes.at(name);
-    request.waiter = world.nextWaiter++;
-    world.waiting[request.waiter] = { number, name, process.incarnation,
-                                      world.now + request.timeLeft, false };
-    world.transcript.push_back("caller submits " + std::to_string(number) + " at " + name);
-    carryOut(world, process,
-             entry::submit(*process.entry, request, world.now, wallOf(world, process)));
-}
-
-} // namespace
-
-void Session::submitAgain(const std::string &entry, std::size_t number)
-{
-    submitTo(*m_world, entry, number, m_world->works[number].request);
-}
-
-void Session::submitOtherBody(const std::string &entry, std::size_t number)
-{
-    entry::SubmitRequest request = m_world->works[number].request;
-    request.digest = "another digest";
-    submitTo(*m_world, entry, number, request);
-}
-
-namespace {
-
-void lookUpAt(World &world, const std::string &name, std::size_t number, bool cancelling)
-{
-    Process &process = world.processes.at(name);
-    const entry::SubmitRequest &request = world.works[number].request;
-    const entry::WaiterId waiter = world.nextWaiter++;
-    const Time deadline = world.now + Milliseconds(2000);
-    world.waiting[waiter] = { number, name, process.incarnation, deadline, true };
-    world.transcript.push_back(std::string("caller ") + (cancelling ? "cancels " : "fetches ")
-                               + std::to_string(number) + " at " + name);
-    const WallTime wall = wallOf(world, process);
-    carryOut(world, process,
-             cancelling ? entry::cancel(*process.entry, waiter, request.team, request.submission,
-                                        deadline, world.now, wall)
-                        : entry::fetch(*process.entry, waiter, request.team, request.submission,
-                                       deadline, world.now, wall));
-}
-
-} // namespace
-
-void Session::fetch(const std::string &entry, std::size_t number)
-{
-    lookUpAt(*m_world, entry, number, false);
-}
-
-void Session::cancel(const std::string &entry, std::size_t number)
-{
-    lookUpAt(*m_world, entry, number, true);
-}
-
-void Session::crash(const std::string &process)
-{
-    m_world->transcript.push_back(process + " crashes");
-    foxwing::schedules::crash(*m_world, m_world->processes.at(process));
-    m_world->processes.at(process).restartAt = m_world->now + Seconds(60);
-}
-
-void Session::pause(const std::string &process, Milliseconds span)
-{
-    m_world->transcript.push_back(process + " stands still");
-    m_world->processes.at(process).pausedUntil = m_world->now + span;
-}
-
-void Session::leave(const std::string &agent)
-{
-    m_world->transcript.push_back(agent + " leaves");
-    Process &process = m_world->processes.at(agent);
-    carryOut(*m_world, process, agent::leave(*process.agent, m_world->now));
-}
-
-void Session::failNextTask()
-{
-    m_world->failNext = true;
-}
-
-void Session::advance(Milliseconds span)
-{
-    advanceWorld(*m_world, m_world->now + span);
-}
-
-std::vector<std::string> Session::transcript() const
-{
-    return m_world->transcript;
-}
-
-Report Session::report() const
-{
-    return m_world->report;
-}
-
 } // namespace foxwing::schedules
