Keep entries ready while claims move

Change: an entry is ready once its claims have been in service; load takes new connections to an entry that became ready again.

--- a/apps/foxwing/loadcommand.cpp
+++ b/apps/foxwing/loadcommand.cpp
@@ -39,6 +39,7 @@
 public:
     Balancer(const std::vector<std::string> &urls, bool follow)
         : m_ready(urls.size())
+        , m_lives(urls.size())
     {
         for (std::atomic<bool> &ready : m_ready)
             ready = true;
@@ -64,6 +65,9 @@
         return wanted % m_ready.size();
     }
 
+    // How often an entry became ready again: connections to its earlier lives are of no use.
+    int life(std::size_t number) const { return m_lives[number]; }
+
 private:
     void watch(std::size_t number, const std::string &url)
     {
@@ -72,12 +76,16 @@
         settings.timeout = Milliseconds(1000);
         edge::HttpClient client(url, settings);
         while (!m_stopping) {
-            m_ready[number] = client.callAndWait("GET", "/readyz", {}, {}).status == 200;
+            const bool ready = client.callAndWait("GET", "/readyz", {}, {}).status == 200;
+            if (ready && !m_ready[number])
+                ++m_lives[number];
+            m_ready[number] = ready;
             std::this_thread::sleep_for(Interval);
         }
     }
 
     std::vector<std::atomic<bool>> m_ready;
+    std::vector<std::atomic<int>> m_lives;
     std::atomic<bool> m_stopping { false };
     std::vector<std::thread> m_threads;
 };
@@ -92,10 +100,8 @@
         , m_random(experiment.seed)
         , m_balancer(experiment.urls, experiment.followReady)
     {
-        edge::HttpClientSettings settings;
-        settings.timeout = Milliseconds(300000);
-        for (const std::string &url : experiment.urls)
-            m_clients.push_back(std::make_unique<edge::HttpClient>(url, settings));
+        for (std::size_t i = 0; i < experiment.urls.size(); ++i)
+            m_clients.push_back({});
     }
 
     load::Summary run()
@@ -117,6 +123,28 @@
     const std::string &outcomes() const { return m_outcomes; }
 
 private:
+    struct Client
+    {
+        int life = -1;
+        std::shared_ptr<edge::HttpClient> http;
+    };
+
+    // On the sending thread only.
+    edge::HttpClient &client(std::size_t number)
+    {
+        Client &client = m_clients[number];
+        const int life = m_balancer.life(number);
+        if (client.life == life)
+            return *client.http;
+        if (client.http)
+            m_oldClients.push_back(client.http); // answers may still come through it
+        edge::HttpClientSettings settings;
+        settings.timeout = Milliseconds(300000);
+        client.life = life;
+        client.http = std::make_shared<edge::HttpClient>(m_experiment.urls[number], settings);
+        return *client.http;
+    }
+
     struct Sent
     {
         std::size_t job = 0;
@@ -181,18 +209,18 @@
             const std::lock_guard<std::mutex> lock(m_mutex);
             ++m_open;
         }
-        m_clients[sent.client]->call("POST", mix.request ? "/v1/requests" : "/v1/jobs",
-                                     bodyOf(sent.job, sent.id),
-                                     { { "Authorization", "Bearer " + mix.token } },
-                                     [this, sent](edge::HttpReply &&reply) { take(sent, reply); });
+        client(sent.client)
+                .call("POST", mix.request ? "/v1/requests" : "/v1/jobs", bodyOf(sent.job, sent.id),
+                      { { "Authorization", "Bearer " + mix.token } },
+                      [this, sent](edge::HttpReply &&reply) { take(sent, reply); });
     }
 
     void cancel(const std::string &id, std::size_t number)
     {
         const load::Mix &mix = m_experiment.mixes[m_plan[number].mix];
-        m_clients[m_balancer.pick(number)]->call("DELETE", "/v1/jobs/" + id, {},
-                                                 { { "Authorization", "Bearer " + mix.token } },
-                                                 [](edge::HttpReply &&) {});
+        client(m_balancer.pick(number))
+                .call("DELETE", "/v1/jobs/" + id, {},
+                      { { "Authorization", "Bearer " + mix.token } }, [](edge::HttpReply &&) {});
     }
 
     void take(const Sent &sent, const edge::HttpReply &reply)
@@ -243,7 +271,8 @@
     std::vector<load::PlannedJob> m_plan;
     std::mt19937_64 m_random;
     Balancer m_balancer;
-    std::vector<std::unique_ptr<edge::HttpClient>> m_clients;
+    std::vector<Client> m_clients;
+    std::vector<std::shared_ptr<edge::HttpClient>> m_oldClients;
     std::mutex m_mutex;
     std::condition_variable m_idle;
     std::size_t m_open = 0;
--- a/packages/entry/include/foxwing/entry/entry.h
+++ b/packages/entry/include/foxwing/entry/entry.h
@@ -190,6 +190,10 @@
 
     bool leaving = false;
 
+    // All claims were in service once. When they move later, work waits a moment and is not
+    // refused.
+    bool wasInService = false;
+
     // Control should be asked at once, since a takeover waits for its word.
     bool beatWanted = false;
     std::uint64_t nextNonce = 1;
@@ -254,7 +258,8 @@
 
 EntryActions tick(EntryState &entry, Time now, WallTime wallNow);
 
-// Whether the entry may take new work: control was heard from, and all claims are in service.
+// Whether a balancer should send work here: control is heard from, and claims have been in service.
+// A change of view does not turn entries off, or all would be off at the same moment.
 bool ready(const EntryState &entry, Time now);
 
 // Whether control was heard from recently enough for the configuration to be believed.
--- a/packages/entry/src/entry.cpp
+++ b/packages/entry/src/entry.cpp
@@ -385,6 +385,7 @@
     carry(claims::tick(entry.claims, now, wallNow), actions);
     tickWatched(entry, now, actions);
     balance(entry, now, actions);
+    entry.wasInService = entry.wasInService || claims::allShardsActive(entry.claims);
     return actions;
 }
 
@@ -396,7 +397,7 @@
 
 bool ready(const EntryState &entry, Time now)
 {
-    return !entry.leaving && configured(entry, now) && claims::allShardsActive(entry.claims);
+    return !entry.leaving && configured(entry, now) && entry.wasInService;
 }
 
 bool drained(const EntryState &entry)
--- a/packages/entry/tests/entry_test.cpp
+++ b/packages/entry/tests/entry_test.cpp
@@ -142,6 +142,27 @@
     }
 }
 
+// In the first rolling restart all entries were unready at each change of view.
+TEST(Entry, StaysReadyWhileClaimsMove)
+{
+    EntryState entry = configuredEntry();
+    EXPECT_FALSE(ready(entry, Begin));
+    claims::View view;
+    view.number = 1;
+    view.members = { { { "entry-a", 1 }, "", "" } };
+    view.bases.resize(claims::ShardCount);
+    for (claims::ShardBase &base : view.bases)
+        base.activeIn = 1;
+    setView(entry, view, Begin);
+    tick(entry, Begin, Wall);
+    EXPECT_TRUE(ready(entry, Begin));
+    view.number = 2;
+    setView(entry, view, Begin);
+    tick(entry, Begin, Wall);
+    EXPECT_TRUE(ready(entry, Begin)) << "no shard is in service in the new view yet";
+    EXPECT_FALSE(ready(entry, Begin + Seconds(11))) << "control was not heard from";
+}
+
 // [SECTION] Tokens
 
 class Token : public testing::TestWithParam<const char *>
