--- a/bench/cluster.sh
+++ b/bench/cluster.sh
@@ -122,6 +122,35 @@
     echo "[$list]"
 }
 
+cluster_mixed_load() { # seconds: jobs of team a and holds of team b, 20 of each a second
+    cat <<TOML
+urls = $(cluster_urls)
+duration = "${1}s"
+[[mix]]
+class = "jobs"
+service = "svc"
+token = "a.secret"
+rate = 20.0
+fewest_tasks = 1
+most_tasks = 6
+mean = "150ms"
+spread = "lognormal"
+deadline = "15s"
+[[mix]]
+class = "holds"
+service = "svc"
+token = "b.secret"
+rate = 20.0
+mean = "60ms"
+request = true
+deadline = "10s"
+TOML
+}
+
+cluster_doubled() { # starts on standard input: tasks that were started more than once, all attempts together
+    awk '{split($1, p, "/"); n[p[3] "/" p[4] "/" p[5]] += $2} END {for (k in n) if (n[k] > 1) print k, n[k]}'
+}
+
 cluster_stop() {
     disown -a 2>/dev/null
     for file in "$cluster_dir"/*.pid; do
--- a/bench/faults.sh
+++ b/bench/faults.sh
@@ -14,32 +14,11 @@
 cluster_start "$dir" 3 6 8 0ms "${3:-1}"
 cluster_declare
 {
-    echo "urls = $(cluster_urls)"
     echo "metrics_urls = $(cluster_metrics_urls)"
-    cat <<TOML
-duration = "${seconds}s"
-resubmit_share = 0.2
-cancel_share = 0.05
-drain = "40s"
-[[mix]]
-class = "jobs"
-service = "svc"
-token = "a.secret"
-rate = 20.0
-fewest_tasks = 1
-most_tasks = 6
-mean = "150ms"
-spread = "lognormal"
-deadline = "15s"
-[[mix]]
-class = "holds"
-service = "svc"
-token = "b.secret"
-rate = 20.0
-mean = "60ms"
-request = true
-deadline = "10s"
-TOML
+    echo "resubmit_share = 0.2"
+    echo "cancel_share = 0.05"
+    echo 'drain = "40s"'
+    cluster_mixed_load "$seconds"
 } >"$dir/load.toml"
 build/apps/foxwing load --outcomes "$dir/outcomes.csv" "$dir/load.toml" >"$dir/report.txt" &
 load=$!
@@ -66,8 +45,7 @@
 cat "$dir/report.txt"
 
 for i in $(seq 0 5); do curl -fs "http://127.0.0.1:$((7600 + i))/starts"; done >"$dir/starts.txt"
-# A start is /tasks/TEAM/SUBMISSION/TASK/ATTEMPT COUNT; attempts of one task count together.
-doubled=$(awk '{split($1, p, "/"); n[p[3] "/" p[4] "/" p[5]] += $2} END {for (k in n) if (n[k] > 1) print k, n[k]}' "$dir/starts.txt")
+doubled=$(cluster_doubled <"$dir/starts.txt")
 false_not_run=$(awk -F, 'NR == FNR {if ($2 == "not run" && $3 != "conflict" && $3 != "not-found") said[$1] = 1; next}
     {split($0, p, "/"); if (p[4] in said) print p[4]}' "$dir/outcomes.csv" "$dir/starts.txt" | sort -u)
 echo "killed $killed, stopped $stopped; starts seen by endpoints: $(awk '{n += $2} END {print n}' "$dir/starts.txt")"
--- a/bench/rolling.sh
+++ b/bench/rolling.sh
@@ -9,31 +9,10 @@
 cluster_start "$dir" 3 6 8 0ms 3
 cluster_declare
 {
-    echo "urls = $(cluster_urls)"
-    cat <<TOML
-follow_ready = true
-duration = "75s"
-resubmit_share = 0.1
-drain = "30s"
-[[mix]]
-class = "jobs"
-service = "svc"
-token = "a.secret"
-rate = 20.0
-fewest_tasks = 1
-most_tasks = 6
-mean = "150ms"
-spread = "lognormal"
-deadline = "15s"
-[[mix]]
-class = "holds"
-service = "svc"
-token = "b.secret"
-rate = 20.0
-mean = "60ms"
-request = true
-deadline = "10s"
-TOML
+    echo "follow_ready = true"
+    echo "resubmit_share = 0.1"
+    echo 'drain = "30s"'
+    cluster_mixed_load 75
 } >"$dir/load.toml"
 build/apps/foxwing load --outcomes "$dir/outcomes.csv" "$dir/load.toml" >"$dir/report.txt" &
 load=$!
@@ -49,7 +28,7 @@
 wait $load || true
 cat "$dir/report.txt"
 for i in $(seq 0 5); do curl -fs "http://127.0.0.1:$((7600 + i))/starts"; done >"$dir/starts.txt"
-doubled=$(awk '{split($1, p, "/"); n[p[3] "/" p[4] "/" p[5]] += $2} END {for (k in n) if (n[k] > 1) c++; print c + 0}' "$dir/starts.txt")
+doubled=$(cluster_doubled <"$dir/starts.txt" | wc -l)
 lost=$(awk '$1 == "all" {print $3 + $4 + $5}' "$dir/report.txt")
 echo "started twice: $doubled; not complete: $lost"
 [ "$doubled" = 0 ] && [ "$lost" = 0 ] && grep -q 'unanswered 0, wrong answers 0' "$dir/report.txt"
--- a/packages/entry/src/admission.cpp
+++ b/packages/entry/src/admission.cpp
@@ -47,17 +47,11 @@
     return std::nullopt;
 }
 
-// What is wrong with a request by itself. It can't have been accepted before.
-std::optional<Error> invalid(const EntryState &entry, const SubmitRequest &request,
-                             WallTime wallNow)
+namespace {
+
+// Work that the service could never run, however long it waited.
+std::optional<Error> beyondLimits(const Service &service, const SubmitRequest &request)
 {
-    const auto found = entry.directory.services.find(request.service);
-    if (found == entry.directory.services.end())
-        return Error { ErrorKind::NotFound,
-                       "there is no service \"" + request.service
-                               + "\"; look at the services with: foxwing show service",
-                       Outcome::NotRun, Milliseconds { 0 } };
-    const Service &service = found->second;
     Error error { ErrorKind::CanNeverRun, {}, Outcome::NotRun, Milliseconds { 0 } };
     if (request.payloads.empty() || request.payloads.size() > service.mostTasks) {
         error.message = "a submission to " + service.name + " must have 1 to "
@@ -83,9 +77,16 @@
         error.message = "the declared time is longer than the deadline; allow more time";
         return error;
     }
-    if (request.submission.empty())
+    return std::nullopt;
+}
+
+std::optional<Error> invalidId(const EntryState &entry, const std::string &submission,
+                               WallTime wallNow)
+{
+    if (submission.empty())
         return std::nullopt;
-    const std::optional<WallTime> made = submissionTime(request.submission, &error);
+    Error error;
+    const std::optional<WallTime> made = submissionTime(submission, &error);
     if (!made)
         return error;
     if (*made > wallNow + entry.settings.claims.clockSkew) {
@@ -96,6 +97,22 @@
     return std::nullopt;
 }
 
+} // namespace
+
+// What is wrong with a request by itself. It can't have been accepted before.
+std::optional<Error> invalid(const EntryState &entry, const SubmitRequest &request,
+                             WallTime wallNow)
+{
+    const auto found = entry.directory.services.find(request.service);
+    if (found == entry.directory.services.end())
+        return Error { ErrorKind::NotFound,
+                       "there is no service \"" + request.service
+                               + "\"; look at the services with: foxwing show service",
+                       Outcome::NotRun, Milliseconds { 0 } };
+    const std::optional<Error> error = beyondLimits(found->second, request);
+    return error ? error : invalidId(entry, request.submission, wallNow);
+}
+
 // [SECTION] Records
 
 dispatch::JobSpec jobSpec(const std::string &key, const SubmitRequest &request, Time deadline)
--- a/tests/schedules/worldstate.h
+++ b/tests/schedules/worldstate.h
@@ -143,6 +143,22 @@
 // The date by a process's own clock.
 WallTime wallOf(const World &world, const Process &process);
 
+// Notes that a promise was broken.
+void violate(World &world, const std::string &what);
+
+// "team/submission", and what the endpoint answers for one task of it.
+std::string keyOf(const entry::SubmitRequest &request);
+std::string expectedResult(const std::string &job, std::size_t task);
+
+// One reply to a caller: whole, its own, once, and "not run" only if nothing ran.
+void checkReply(World &world, const entry::Reply &reply);
+
+// Callers of live entries are answered by their deadline and a little more.
+void checkWaiting(World &world);
+
+// After everything has healed, new work must complete.
+void checkRecovery(World &world, std::size_t fresh);
+
 // Sends, starts and answers what a process decided.
 void carryOut(World &world, Process &process, agent::AgentActions &&actions);
 void carryOut(World &world, Process &process, entry::EntryActions &&actions);
