--- a/apps/foxwingd/main.cpp
+++ b/apps/foxwingd/main.cpp
@@ -3,11 +3,13 @@
 
         foxwingd --settings /etc/foxwing/node.toml
         foxwingd --settings node.toml --check
+        foxwingd --fleet /etc/foxwing/node.toml     on a platform that writes the settings
 
     Exit codes: 0 stopped as planned, 1 could not start, 2 wrong use or wrong settings.
 
     [SECTION] Command line
     [SECTION] Signals
+    [SECTION] Fleet
     [SECTION] Main
 */
 #include <csignal>
@@ -17,8 +19,10 @@
 #include <popt.h>
 #include <thread>
 
+#include <foxwing/fleet/node.h>
 #include <foxwing/node/log.h>
 #include <foxwing/node/node.h>
+#include <foxwing/platform/dialect.h>
 
 namespace {
 
@@ -30,6 +34,9 @@
 struct Options
 {
     std::string settingsFile;
+
+    // The file is a fleet's, written by the platform.
+    bool fleet = false;
     bool check = false;
     bool version = false;
 };
@@ -38,10 +45,13 @@
 std::optional<Options> readOptions(int count, const char **arguments)
 {
     char *file = nullptr;
+    char *fleetFile = nullptr;
     int check = 0;
     int version = 0;
     const poptOption table[] = {
         { "settings", 's', POPT_ARG_STRING, &file, 0, "settings file in TOML", "FILE" },
+        { "fleet", 'f', POPT_ARG_STRING, &fleetFile, 0,
+          "settings file in TOML of a process that a platform runs", "FILE" },
         { "check", 'c', POPT_ARG_NONE, &check, 0, "only check the settings", nullptr },
         { "version", 'V', POPT_ARG_NONE, &version, 0, "print the version", nullptr },
         POPT_AUTOHELP POPT_TABLEEND
@@ -50,14 +60,17 @@
     const int result = poptGetNextOpt(context);
     const char *extra = poptGetArg(context);
     Options options;
-    options.settingsFile = file ? file : "";
+    options.fleet = fleetFile != nullptr;
+    options.settingsFile = fleetFile ? fleetFile : file ? file : "";
     options.check = check != 0;
     options.version = version != 0;
-    const bool ok = result == -1 && !extra && (file || version != 0);
+    const bool ok = result == -1 && !extra && (!file != !fleetFile || version != 0);
     if (!ok)
-        std::fprintf(stderr, "foxwingd: %s; use: foxwingd --settings FILE [--check]\n",
+        std::fprintf(stderr,
+                     "foxwingd: %s; use: foxwingd --settings FILE | --fleet FILE [--check]\n",
                      result < -1 ? poptStrerror(result) : "wrong use");
     std::free(file);
+    std::free(fleetFile);
     poptFreeContext(context);
     return ok ? std::optional<Options>(options) : std::nullopt;
 }
@@ -74,6 +87,31 @@
     }).detach();
 }
 
+// [SECTION] Fleet
+
+int runFleet(const Options &options)
+{
+    foxwing::Error reason;
+    const auto settings = foxwing::fleet::readFleetSettings(options.settingsFile, &reason);
+    if (!settings) {
+        std::fprintf(stderr, "foxwingd: %s\n", reason.message.c_str());
+        return ExitWrongUse;
+    }
+    if (options.check) {
+        std::printf("%s: good\n", options.settingsFile.c_str());
+        return EXIT_SUCCESS;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    foxwing::fleet::Node node(*settings, options.settingsFile, foxwing::platform::dialect());
+    if (!node.start(&reason)) {
+        std::fprintf(stderr, "foxwingd: %s\n", reason.message.c_str());
+        std::_Exit(ExitCantStart);
+    }
+    node.run();
+    // A sync that hangs on its disk must not hold up the end.
+    std::_Exit(EXIT_SUCCESS);
+}
+
 } // namespace
 
 // [SECTION] Main
@@ -87,6 +125,8 @@
         std::printf("foxwingd %s\n", FOXWING_VERSION);
         return EXIT_SUCCESS;
     }
+    if (options->fleet)
+        return runFleet(*options);
     foxwing::Error reason;
     const auto settings = foxwing::settings::readSettings(options->settingsFile, &reason);
     if (!settings) {
--- a/cmake/FoxwingPackage.cmake
+++ b/cmake/FoxwingPackage.cmake
@@ -14,7 +14,7 @@
     install(TARGETS foxwing_${name} EXPORT foxwingTargets
         ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
     install(DIRECTORY include/foxwing DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
-    if(ARG_TESTS)
+    if(ARG_TESTS AND FOXWING_TESTS)
         add_executable(${name}_test ${ARG_TESTS})
         target_link_libraries(${name}_test PRIVATE foxwing_${name} ${ARG_TEST_DEPS} GTest::gtest_main)
         add_test(NAME ${name} COMMAND ${name}_test)
--- /dev/null
+++ b/packages/base/include/foxwing/base/binary.h
@@ -0,0 +1,240 @@
+/*
+    Typed messages to compact bytes and back, through the same describe() as the JSON codec.
+
+        std::string bytes = toBinary(message);
+        if (!fromBinary(bytes, &message, &reason))
+            ...
+
+    Numbers are variable-length, fields stand in the order of describe(). Both ends must run the
+    same version of a message: a reader takes what is there and leaves later fields at their
+    defaults, so fields may only be added at the end. encodeFrame() and decodeFrame() put the
+    alternative of a std::variant before it.
+
+    [SECTION] Writer
+    [SECTION] Reader
+    [SECTION] Messages
+*/
+#pragma once
+
+#include <cstring>
+#include <string_view>
+
+#include <foxwing/base/codec.h>
+
+namespace foxwing {
+
+// [SECTION] Writer
+
+class BinaryWriter
+{
+public:
+    template<class T>
+    void operator()(const char *, const T &value)
+    {
+        write(value);
+    }
+
+    std::string take() { return std::move(m_bytes); }
+
+    void writeUnsigned(std::uint64_t value)
+    {
+        while (value >= 0x80) {
+            m_bytes.push_back(static_cast<char>(value | 0x80));
+            value >>= 7;
+        }
+        m_bytes.push_back(static_cast<char>(value));
+    }
+
+    template<class T>
+    void write(const T &value)
+    {
+        if constexpr (IsDuration<T>::value) {
+            writeSigned(value.count());
+        } else if constexpr (std::is_same_v<T, std::string>) {
+            writeUnsigned(value.size());
+            m_bytes += value;
+        } else if constexpr (std::is_same_v<T, double>) {
+            char raw[sizeof(double)];
+            std::memcpy(raw, &value, sizeof raw);
+            m_bytes.append(raw, sizeof raw);
+        } else if constexpr (std::is_enum_v<
+                                     T> || std::is_same_v<T, bool> || std::is_unsigned_v<T>) {
+            writeUnsigned(static_cast<std::uint64_t>(value));
+        } else if constexpr (std::is_integral_v<T>) {
+            writeSigned(value);
+        } else if constexpr (IsVector<T>::value) {
+            writeUnsigned(value.size());
+            for (const auto &item : value)
+                write(item);
+        } else {
+            describe(*this, const_cast<T &>(value));
+        }
+    }
+
+private:
+    void writeSigned(std::int64_t value)
+    {
+        writeUnsigned((static_cast<std::uint64_t>(value) << 1U)
+                      ^ static_cast<std::uint64_t>(value >> 63));
+    }
+
+    std::string m_bytes;
+};
+
+// [SECTION] Reader
+
+class BinaryReader
+{
+public:
+    explicit BinaryReader(std::string_view bytes)
+        : m_rest(bytes)
+    { }
+
+    template<class T>
+    void operator()(const char *, T &value)
+    {
+        // Fields that an older writer does not know keep their defaults.
+        if (m_ok && !m_rest.empty())
+            read(value);
+    }
+
+    bool ok() const { return m_ok; }
+
+    std::uint64_t readUnsigned()
+    {
+        std::uint64_t value = 0;
+        for (unsigned shift = 0; shift < 64; shift += 7) {
+            if (m_rest.empty())
+                break;
+            const auto byte = static_cast<unsigned char>(m_rest.front());
+            m_rest.remove_prefix(1);
+            value |= static_cast<std::uint64_t>(byte & 0x7fU) << shift;
+            if (byte < 0x80)
+                return value;
+        }
+        m_ok = false;
+        return 0;
+    }
+
+    template<class T>
+    void read(T &value)
+    {
+        if constexpr (IsDuration<T>::value) {
+            value = T(static_cast<typename T::rep>(readSigned()));
+        } else if constexpr (std::is_same_v<T, std::string>) {
+            const std::uint64_t size = readUnsigned();
+            value = std::string(takeBytes(size));
+        } else if constexpr (std::is_same_v<T, double>) {
+            const std::string_view raw = takeBytes(sizeof(double));
+            if (m_ok)
+                std::memcpy(&value, raw.data(), sizeof(double));
+        } else if constexpr (std::is_same_v<T, bool>) {
+            value = readUnsigned() != 0;
+        } else if constexpr (std::is_enum_v<T> || std::is_unsigned_v<T>) {
+            value = static_cast<T>(readUnsigned());
+        } else if constexpr (std::is_integral_v<T>) {
+            value = static_cast<T>(readSigned());
+        } else if constexpr (IsVector<T>::value) {
+            readVector(value);
+        } else {
+            describe(*this, value);
+        }
+    }
+
+private:
+    std::int64_t readSigned()
+    {
+        const std::uint64_t raw = readUnsigned();
+        return static_cast<std::int64_t>(raw >> 1U) ^ -static_cast<std::int64_t>(raw & 1U);
+    }
+
+    std::string_view takeBytes(std::uint64_t size)
+    {
+        if (size > m_rest.size()) {
+            m_ok = false;
+            return {};
+        }
+        const std::string_view taken = m_rest.substr(0, size);
+        m_rest.remove_prefix(size);
+        return taken;
+    }
+
+    template<class T>
+    void readVector(std::vector<T> &value)
+    {
+        const std::uint64_t size = readUnsigned();
+        // Each item takes a byte at least: a larger number is damage, and must not take memory.
+        if (size > m_rest.size()) {
+            m_ok = false;
+            return;
+        }
+        value.clear();
+        value.resize(size);
+        for (T &item : value) {
+            if (m_ok)
+                read(item);
+        }
+    }
+
+    std::string_view m_rest;
+    bool m_ok = true;
+};
+
+// [SECTION] Messages
+
+template<class T>
+std::string toBinary(const T &message)
+{
+    BinaryWriter writer;
+    writer.write(message);
+    return writer.take();
+}
+
+template<class T>
+bool fromBinary(std::string_view bytes, T *message, Error *reason)
+{
+    BinaryReader reader(bytes);
+    reader.read(*message);
+    if (!reader.ok())
+        fail(reason, ErrorKind::BadRequest,
+             "a message is cut short; check that both processes run the same version");
+    return reader.ok();
+}
+
+template<class... Messages>
+std::string encodeFrame(const std::variant<Messages...> &message)
+{
+    BinaryWriter writer;
+    writer.writeUnsigned(message.index());
+    std::visit([&writer](const auto &held) { writer.write(held); }, message);
+    return writer.take();
+}
+
+template<class Variant, std::size_t Index = 0>
+std::optional<Variant> readAlternative(std::uint64_t wanted, BinaryReader &reader, Error *reason)
+{
+    if constexpr (Index == std::variant_size_v<Variant>) {
+        return fail(reason, ErrorKind::BadRequest,
+                    "unknown message " + std::to_string(wanted)
+                            + "; upgrade the process that received it");
+    } else {
+        if (wanted != Index)
+            return readAlternative<Variant, Index + 1>(wanted, reader, reason);
+        std::variant_alternative_t<Index, Variant> message;
+        reader.read(message);
+        if (!reader.ok())
+            return fail(reason, ErrorKind::BadRequest,
+                        "a message is cut short; check that both processes run the same version");
+        return Variant(std::move(message));
+    }
+}
+
+template<class Variant>
+std::optional<Variant> decodeFrame(std::string_view bytes, Error *reason)
+{
+    BinaryReader reader(bytes);
+    const std::uint64_t index = reader.readUnsigned();
+    return readAlternative<Variant>(index, reader, reason);
+}
+
+} // namespace foxwing
--- /dev/null
+++ b/packages/catalog/src/catalog.cpp
@@ -0,0 +1,95 @@
+/*
+    Checks and look-ups.
+
+    [SECTION] Checks
+    [SECTION] Look-ups
+*/
+#include <foxwing/catalog/catalog.h>
+
+#include <set>
+
+namespace foxwing::catalog {
+
+// [SECTION] Checks
+
+namespace {
+
+bool refuse(Error *reason, const std::string &message)
+{
+    fail(reason, ErrorKind::BadRequest, message);
+    return false;
+}
+
+bool checkServices(const Catalog &catalog, std::set<std::string> &names, Error *reason)
+{
+    for (const ServiceDeclaration &service : catalog.services) {
+        if (service.name.empty())
+            return refuse(reason, "a service has no name; give it one");
+        if (!names.insert(service.name).second)
+            return refuse(reason, "service " + service.name + " is declared twice; remove one");
+    }
+    return true;
+}
+
+bool checkQueue(const QueueDeclaration &queue, const std::set<std::string> &services, Error *reason)
+{
+    const std::string which = "queue " + queue.name;
+    if (queue.name.empty())
+        return refuse(reason, "a queue has no name; give it one");
+    if (queue.prefix.empty() || queue.prefix.front() != '/')
+        return refuse(reason, which + " needs a prefix that begins with \"/\"");
+    if (services.count(queue.service) == 0)
+        return refuse(reason,
+                      which + " names the service \"" + queue.service
+                              + "\", which is not declared; declare it or name another");
+    if (queue.timeout.count() <= 0)
+        return refuse(reason, which + " needs a timeout above zero");
+    return true;
+}
+
+} // namespace
+
+bool validate(const Catalog &catalog, Error *reason)
+{
+    if (catalog.version == 0)
+        return refuse(reason, "the version must be a whole number above zero");
+    std::set<std::string> services;
+    if (!checkServices(catalog, services, reason))
+        return false;
+    std::set<std::string> names;
+    std::set<std::string> places;
+    for (const QueueDeclaration &queue : catalog.queues) {
+        if (!checkQueue(queue, services, reason))
+            return false;
+        if (!names.insert(queue.name).second)
+            return refuse(reason, "queue " + queue.name + " is declared twice; rename one");
+        if (!places.insert(queue.host + queue.prefix).second)
+            return refuse(reason,
+                          "queue " + queue.name
+                                  + " has the host and prefix of another queue; "
+                                    "change one of the two");
+    }
+    return true;
+}
+
+bool supersedes(const Catalog &held, const Catalog &sent)
+{
+    return sent.version > held.version;
+}
+
+// [SECTION] Look-ups
+
+const QueueDeclaration *findQueue(const Catalog &catalog, const std::string &host,
+                                  const std::string &path)
+{
+    const QueueDeclaration *best = nullptr;
+    for (const QueueDeclaration &queue : catalog.queues) {
+        if (queue.host != host || path.compare(0, queue.prefix.size(), queue.prefix) != 0)
+            continue;
+        if (!best || queue.prefix.size() > best->prefix.size())
+            best = &queue;
+    }
+    return best;
+}
+
+} // namespace foxwing::catalog
--- /dev/null
+++ b/packages/fabric/src/address.cpp
@@ -0,0 +1,81 @@
+/*
+    Addresses and socket options.
+
+    [SECTION] Functions
+*/
+#include <foxwing/fabric/address.h>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace foxwing::fabric {
+
+// [SECTION] Functions
+
+namespace {
+
+// Connections that wait to be accepted; a burst of reconnecting peers must fit.
+constexpr int AcceptBacklog = 512;
+
+void setOption(Socket &socket, int level, int option, int value)
+{
+    // A refused option only costs speed or a later notice; the connection still works.
+    (void)::setsockopt(socket.native_handle(), level, option, &value, sizeof value);
+}
+
+} // namespace
+
+std::optional<Endpoint> parseEndpoint(const std::string &text, Error *reason)
+{
+    const std::size_t colon = text.rfind(':');
+    boost::system::error_code wrong;
+    const auto address = asio::ip::make_address_v4(text.substr(0, colon), wrong);
+    const std::string port = colon == std::string::npos ? "" : text.substr(colon + 1);
+    const bool digits = !port.empty() && port.size() < 6
+            && port.find_first_not_of("0123456789") == std::string::npos;
+    const unsigned long number = digits ? std::stoul(port) : 0;
+    if (wrong || number == 0 || number > 65535)
+        return fail(reason, ErrorKind::BadRequest,
+                    "\"" + text + "\" is no IPv4 number and port; write it as 10.0.0.1:7100");
+    return Endpoint(address, static_cast<unsigned short>(number));
+}
+
+std::string toString(const Endpoint &endpoint)
+{
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+std::string hostOf(const std::string &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+void tune(Socket &socket, Milliseconds silence)
+{
+    setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(silence.count()));
+}
+
+std::optional<asio::ip::tcp::acceptor> listenAt(asio::io_context &io, const std::string &address,
+                                                Error *reason)
+{
+    const auto endpoint = parseEndpoint(address, reason);
+    if (!endpoint)
+        return std::nullopt;
+    asio::ip::tcp::acceptor acceptor(io);
+    boost::system::error_code wrong;
+    acceptor.open(endpoint->protocol(), wrong);
+    if (!wrong)
+        acceptor.set_option(asio::socket_base::reuse_address(true), wrong);
+    if (!wrong)
+        acceptor.bind(*endpoint, wrong);
+    if (!wrong)
+        acceptor.listen(AcceptBacklog, wrong);
+    if (wrong)
+        return fail(reason, ErrorKind::Unavailable,
+                    "can't listen at " + address + ": " + wrong.message()
+                            + "; check that the address is this host's and the port is free");
+    return acceptor;
+}
+
+} // namespace foxwing::fabric
--- /dev/null
+++ b/packages/fabric/src/httpclient.cpp
@@ -0,0 +1,261 @@
+/*
+    Kept connections to one HTTP server.
+
+    [SECTION] State
+    [SECTION] Connection
+    [SECTION] Client
+*/
+#include <foxwing/fabric/httpclient.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+namespace foxwing::fabric {
+
+// [SECTION] State
+
+namespace {
+
+struct PendingCall
+{
+    Request request;
+    std::chrono::steady_clock::time_point deadline;
+    HttpClient::Done done;
+};
+
+class ClientConnection;
+
+} // namespace
+
+struct HttpClient::State : std::enable_shared_from_this<HttpClient::State>
+{
+    State(asio::io_context &context, std::string to, HttpClientSettings with)
+        : io(context)
+        , address(std::move(to))
+        , settings(with)
+    { }
+
+    asio::io_context &io;
+    std::string address;
+    HttpClientSettings settings;
+    std::deque<PendingCall> waiting;
+    std::vector<std::shared_ptr<ClientConnection>> idle;
+    std::set<std::shared_ptr<ClientConnection>> busy;
+    std::uint64_t opened = 0;
+    bool stopped = false;
+
+    void dispatch();
+    void start(PendingCall call);
+};
+
+// [SECTION] Connection
+
+namespace {
+
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>
+{
+public:
+    using State = std::shared_ptr<void>;
+    using Released = std::function<void(const std::shared_ptr<ClientConnection> &, bool reusable)>;
+
+    ClientConnection(asio::io_context &io, std::uint64_t mostBodyBytes, Released released)
+        : m_socket(io)
+        , m_timer(io)
+        , m_mostBodyBytes(mostBodyBytes)
+        , m_released(std::move(released))
+    { }
+
+    void connect(const Endpoint &endpoint, PendingCall call)
+    {
+        begin(std::move(call));
+        m_socket.async_connect(endpoint,
+                               [self = shared_from_this()](boost::system::error_code wrong) {
+                                   if (!self->m_call)
+                                       return;
+                                   if (wrong)
+                                       return self->finish(wrong == asio::error::connection_refused
+                                                                   ? CallFailure::Refused
+                                                                   : CallFailure::NoAnswer);
+                                   tune(self->m_socket, SilenceBeforeClose);
+                                   self->write();
+                               });
+    }
+
+    void reuse(PendingCall call)
+    {
+        begin(std::move(call));
+        write();
+    }
+
+    // An idle connection that the server has closed must not take a call.
+    bool stillOpen()
+    {
+        char byte = 0;
+        const auto got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    void abandon()
+    {
+        m_call.reset();
+        m_timer.cancel();
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+    }
+
+private:
+    static constexpr Milliseconds SilenceBeforeClose { 3000 };
+
+    void begin(PendingCall call)
+    {
+        m_call.emplace(std::move(call));
+        m_timer.expires_at(m_call->deadline);
+        m_timer.async_wait(
+                [self = shared_from_this(), number = ++m_number](boost::system::error_code ended) {
+                    if (!ended && number == self->m_number && self->m_call)
+                        self->finish(CallFailure::NoAnswer);
+                });
+    }
+
+    void write()
+    {
+        http::async_write(m_socket, m_call->request,
+                          [self = shared_from_this()](boost::system::error_code wrong,
+                                                      std::size_t) {
+                              if (!self->m_call)
+                                  return;
+                              if (wrong)
+                                  return self->finish(CallFailure::NoAnswer);
+                              self->read();
+                          });
+    }
+
+    void read()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(m_mostBodyBytes);
+        http::async_read(m_socket, m_buffer, *m_parser,
+                         [self = shared_from_this()](boost::system::error_code wrong, std::size_t) {
+                             if (!self->m_call)
+                                 return;
+                             self->finish(wrong ? CallFailure::NoAnswer : CallFailure::None);
+                         });
+    }
+
+    void finish(CallFailure failure)
+    {
+        const PendingCall call = std::move(*m_call);
+        m_call.reset();
+        m_timer.cancel();
+        CallResult result;
+        result.failure = failure;
+        if (failure == CallFailure::None)
+            result.response = m_parser->release();
+        const bool reusable = result.response && result.response->keep_alive();
+        if (!reusable) {
+            boost::system::error_code ignored;
+            m_socket.close(ignored);
+        }
+        m_released(shared_from_this(), reusable);
+        call.done(std::move(result));
+    }
+
+    Socket m_socket;
+    asio::steady_timer m_timer;
+    std::uint64_t m_mostBodyBytes;
+    std::uint64_t m_number = 0;
+    Released m_released;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::optional<PendingCall> m_call;
+};
+
+} // namespace
+
+// [SECTION] Client
+
+void HttpClient::State::start(PendingCall call)
+{
+    while (!idle.empty()) {
+        const auto connection = idle.back();
+        idle.pop_back();
+        if (!connection->stillOpen())
+            continue;
+        busy.insert(connection);
+        return connection->reuse(std::move(call));
+    }
+    Error reason;
+    const auto endpoint = parseEndpoint(address, &reason);
+    if (!endpoint) {
+        CallResult result;
+        result.failure = CallFailure::Refused;
+        return call.done(std::move(result));
+    }
+    const auto connection = std::make_shared<ClientConnection>(
+            io, settings.mostBodyBytes,
+            [weak = weak_from_this()](const std::shared_ptr<ClientConnection> &released,
+                                      bool reusable) {
+                const auto self = weak.lock();
+                if (!self || self->stopped)
+                    return;
+                self->busy.erase(released);
+                if (reusable)
+                    self->idle.push_back(released);
+                asio::post(self->io, [self] { self->dispatch(); });
+            });
+    ++opened;
+    busy.insert(connection);
+    connection->connect(*endpoint, std::move(call));
+}
+
+void HttpClient::State::dispatch()
+{
+    const auto now = std::chrono::steady_clock::now();
+    while (!stopped && !waiting.empty()) {
+        const bool late = waiting.front().deadline <= now;
+        if (!late && busy.size() >= settings.mostConnections)
+            return;
+        PendingCall call = std::move(waiting.front());
+        waiting.pop_front();
+        if (!late) {
+            start(std::move(call));
+            continue;
+        }
+        // Never left this process, but the caller may not care for the difference.
+        CallResult result;
+        result.failure = CallFailure::NoAnswer;
+        call.done(std::move(result));
+    }
+}
+
+HttpClient::HttpClient(asio::io_context &io, const std::string &address,
+                       HttpClientSettings settings)
+    : m_state(std::make_shared<State>(io, address, settings))
+{ }
+
+HttpClient::~HttpClient()
+{
+    m_state->stopped = true;
+    for (const auto &connection : m_state->busy)
+        connection->abandon();
+    m_state->busy.clear();
+    m_state->idle.clear();
+}
+
+void HttpClient::call(Request request, Milliseconds timeout, Done done)
+{
+    request.version(11);
+    request.prepare_payload();
+    m_state->waiting.push_back(
+            { std::move(request), std::chrono::steady_clock::now() + timeout, std::move(done) });
+    m_state->dispatch();
+}
+
+std::uint64_t HttpClient::opened() const
+{
+    return m_state->opened;
+}
+
+} // namespace foxwing::fabric
--- /dev/null
+++ b/packages/fabric/src/httpserver.cpp
@@ -0,0 +1,339 @@
+/*
+    HTTP connections of callers.
+
+    [SECTION] State
+    [SECTION] Connection
+    [SECTION] Exchange
+    [SECTION] Server
+*/
+#include <foxwing/fabric/httpserver.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <set>
+#include <sys/socket.h>
+
+namespace foxwing::fabric {
+
+// [SECTION] State
+
+struct HttpServer::State
+{
+    State(asio::io_context &io, asio::ip::tcp::acceptor listener, const HttpLimits &with,
+          Handler calls)
+        : acceptor(std::move(listener))
+        , pause(io)
+        , limits(with)
+        , handler(std::move(calls))
+    { }
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer pause;
+    HttpLimits limits;
+    Handler handler;
+    std::set<std::shared_ptr<HttpConnection>> connections;
+    std::size_t underWay = 0;
+    bool closeAfterAnswers = false;
+    bool stopped = false;
+};
+
+// [SECTION] Connection
+
+class HttpConnection : public std::enable_shared_from_this<HttpConnection>
+{
+public:
+    HttpConnection(Socket socket, std::shared_ptr<HttpServer::State> server)
+        : m_socket(std::move(socket))
+        , m_timer(m_socket.get_executor())
+        , m_server(std::move(server))
+    {
+        tune(m_socket, m_server->limits.idleTimeout);
+    }
+
+    void readNext()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(m_server->limits.headerBytes);
+        m_parser->body_limit(m_server->limits.bodyBytes);
+        m_idle = m_buffer.size() == 0;
+        if (!m_idle)
+            return readHeader();
+        wakeAfter(m_server->limits.idleTimeout);
+        m_socket.async_wait(Socket::wait_read,
+                            [self = shared_from_this()](boost::system::error_code wrong) {
+                                if (wrong || self->m_closed)
+                                    return self->close();
+                                self->m_idle = false;
+                                self->readHeader();
+                            });
+    }
+
+    void send(Response response)
+    {
+        m_response.emplace(std::move(response));
+        m_response->version(11);
+        m_response->keep_alive(m_keepAlive && !m_server->closeAfterAnswers);
+        m_response->prepare_payload();
+        http::async_write(m_socket, *m_response,
+                          [self = shared_from_this()](boost::system::error_code wrong,
+                                                      std::size_t) {
+                              self->finishRequest();
+                              if (wrong || !self->m_response->keep_alive())
+                                  return self->shutDown();
+                              self->readNext();
+                          });
+    }
+
+    void closeIfIdle()
+    {
+        if (m_idle)
+            close();
+    }
+
+    void close()
+    {
+        if (m_closed)
+            return;
+        m_closed = true;
+        m_timer.cancel();
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        if (m_exchange)
+            callerGone();
+        m_server->connections.erase(shared_from_this());
+    }
+
+private:
+    // One timer a connection; a wait that is over before its time is not cancelled but outlived, so
+    // that a busy connection sets the timer rarely.
+    void wakeAfter(Milliseconds span)
+    {
+        m_deadline = std::chrono::steady_clock::now() + span;
+        if (!m_timerRuns)
+            armTimer();
+    }
+
+    void armTimer()
+    {
+        m_timerRuns = true;
+        m_timer.expires_at(m_deadline);
+        m_timer.async_wait([self = shared_from_this()](boost::system::error_code ended) {
+            self->m_timerRuns = false;
+            if (ended || self->m_closed)
+                return;
+            if (std::chrono::steady_clock::now() < self->m_deadline)
+                return self->armTimer();
+            if (!self->m_exchange)
+                self->close();
+        });
+    }
+
+    void readHeader()
+    {
+        wakeAfter(m_server->limits.headerTimeout);
+        http::async_read(m_socket, m_buffer, *m_parser,
+                         [self = shared_from_this()](boost::system::error_code wrong, std::size_t) {
+                             self->handleRead(wrong);
+                         });
+    }
+
+    void handleRead(boost::system::error_code wrong)
+    {
+        if (m_closed)
+            return;
+        if (wrong == http::error::header_limit)
+            return refuse(431);
+        if (wrong == http::error::body_limit)
+            return refuse(413);
+        if (wrong
+            && wrong.category() == boost::system::error_code(http::error::bad_method).category()
+            && wrong != http::error::end_of_stream && wrong != http::error::partial_message)
+            return refuse(400);
+        if (wrong)
+            return close();
+        wakeAfter(m_server->limits.idleTimeout);
+        m_keepAlive = m_parser->get().keep_alive();
+        m_exchange = std::make_shared<Exchange>(m_parser->release(), weak_from_this());
+        count();
+        const ExchangePtr exchange = m_exchange;
+        m_server->handler(exchange);
+        if (!exchange->answered())
+            watchCaller();
+    }
+
+    // A request that can't be read: what follows on this connection can't be either.
+    void refuse(unsigned status)
+    {
+        m_keepAlive = false;
+        count();
+        send(makeResponse(status, "text/plain", ""));
+    }
+
+    // While an answer is awaited, readability means that the caller closed, or sent more early.
+    void watchCaller()
+    {
+        m_socket.async_wait(Socket::wait_read,
+                            [self = shared_from_this()](boost::system::error_code wrong) {
+                                if (wrong || self->m_closed || !self->m_exchange)
+                                    return;
+                                char byte = 0;
+                                const auto got = ::recv(self->m_socket.native_handle(), &byte, 1,
+                                                        MSG_PEEK | MSG_DONTWAIT);
+                                if (got <= 0)
+                                    self->close();
+                            });
+    }
+
+    void callerGone()
+    {
+        const ExchangePtr exchange = m_exchange;
+        finishRequest();
+        if (!exchange->answered() && exchange->m_gone)
+            exchange->m_gone();
+    }
+
+    void count()
+    {
+        m_counted = true;
+        ++m_server->underWay;
+    }
+
+    void finishRequest()
+    {
+        m_exchange.reset();
+        if (m_counted)
+            --m_server->underWay;
+        m_counted = false;
+    }
+
+    // The answer has been written whole; the caller closes once it has read it.
+    void shutDown()
+    {
+        boost::system::error_code ignored;
+        m_socket.shutdown(Socket::shutdown_send, ignored);
+        close();
+    }
+
+    friend class Exchange;
+    Socket m_socket;
+    asio::steady_timer m_timer;
+    std::chrono::steady_clock::time_point m_deadline;
+    std::shared_ptr<HttpServer::State> m_server;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<Response> m_response;
+    ExchangePtr m_exchange;
+    // Whether this connection's request is in the server's underWay.
+    bool m_counted = false;
+    bool m_keepAlive = true;
+    bool m_idle = false;
+    bool m_timerRuns = false;
+    bool m_closed = false;
+};
+
+// [SECTION] Exchange
+
+Exchange::Exchange(Request request, std::weak_ptr<HttpConnection> connection)
+    : m_request(std::move(request))
+    , m_connection(std::move(connection))
+{ }
+
+void Exchange::answer(Response response)
+{
+    if (m_answered)
+        return;
+    m_answered = true;
+    m_gone = nullptr;
+    const auto connection = m_connection.lock();
+    if (connection && !connection->m_closed)
+        connection->send(std::move(response));
+}
+
+Response makeResponse(unsigned status, const std::string &contentType, std::string body)
+{
+    Response response;
+    response.result(status);
+    response.set(http::field::content_type, contentType);
+    response.body() = std::move(body);
+    return response;
+}
+
+// [SECTION] Server
+
+namespace {
+
+// After an accept that failed for want of descriptors, so that the loop is not kept busy by it.
+constexpr Milliseconds AcceptPause { 100 };
+
+template<class State>
+void acceptNext(const std::shared_ptr<State> &state)
+{
+    state->acceptor.async_accept([state](boost::system::error_code wrong, Socket socket) {
+        if (state->stopped)
+            return;
+        if (!wrong) {
+            if (state->connections.size() < state->limits.mostConnections) {
+                auto connection = std::make_shared<HttpConnection>(std::move(socket), state);
+                state->connections.insert(connection);
+                connection->readNext();
+            }
+            return acceptNext(state);
+        }
+        state->pause.expires_after(AcceptPause);
+        state->pause.async_wait([state](boost::system::error_code ended) {
+            if (!ended)
+                acceptNext(state);
+        });
+    });
+}
+
+} // namespace
+
+HttpServer::HttpServer(asio::io_context &io, asio::ip::tcp::acceptor acceptor,
+                       const HttpLimits &limits, Handler handler)
+    : m_state(std::make_shared<State>(io, std::move(acceptor), limits, std::move(handler)))
+{
+    acceptNext(m_state);
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+    m_state->handler = [](const ExchangePtr &) {};
+    const auto connections = m_state->connections;
+    for (const auto &connection : connections)
+        connection->close();
+}
+
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    m_state->limits = limits;
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    m_state->closeAfterAnswers = true;
+}
+
+void HttpServer::stopAccepting()
+{
+    m_state->stopped = true;
+    boost::system::error_code ignored;
+    m_state->acceptor.close(ignored);
+    m_state->pause.cancel();
+    const auto connections = m_state->connections;
+    for (const auto &connection : connections)
+        connection->closeIfIdle();
+}
+
+std::size_t HttpServer::underWay() const
+{
+    return m_state->underWay;
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_state->connections.size();
+}
+
+} // namespace foxwing::fabric
--- /dev/null
+++ b/packages/fleet/include/foxwing/fleet/dialect.h
@@ -0,0 +1,135 @@
+/*
+    What a fleet needs to be told and to tell at its edges, apart from how it is said.
+
+    A dialect is a set of functions that turn HTTP messages into these types and back. The fleet
+    decides; a dialect only translates, and keeps no state.
+
+    [SECTION] Callers
+    [SECTION] Endpoints
+    [SECTION] Operators
+    [SECTION] Dialect
+*/
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include <foxwing/catalog/catalog.h>
+#include <foxwing/fabric/httpserver.h>
+#include <foxwing/jobs/job.h>
+#include <foxwing/runner/runner.h>
+#include <foxwing/scheduler/scheduler.h>
+
+namespace foxwing::fleet {
+
+// [SECTION] Callers
+
+enum class CallerWish {
+    Submit,
+    AskState,
+    Cancel,
+    AskWaiting,
+
+    // Nothing that the interface has
+    Other,
+};
+
+// A caller's request, read as far as is needed to find its queue.
+struct CallerCall
+{
+    CallerWish wish = CallerWish::Other;
+    std::string host;
+    std::string path;
+
+    // How long the caller waits; left out, as long as the queue allows.
+    std::optional<Milliseconds> patience;
+};
+
+// Why a call gets no job.
+enum class CallerRefusal {
+    NoSuchQueue,
+
+    // This entry can't tell yet which queues there are.
+    NotConfigured,
+    BadRequest,
+
+    // No such job is known.
+    Gone,
+    NotServed,
+};
+
+// [SECTION] Endpoints
+
+enum class EndpointWish {
+    Beat,
+    Leave,
+    Other,
+};
+
+// What an endpoint tells its agent.
+struct EndpointCall
+{
+    EndpointWish wish = EndpointWish::Other;
+
+    // Which life of it is meant
+    std::string life;
+    runner::EndpointReport report;
+};
+
+// [SECTION] Operators
+
+enum class OperatorWish {
+    Declare,
+    Read,
+    Other,
+};
+
+enum class OperatorOutcome {
+    Accepted,
+
+    // The declaration is at fault and was not taken.
+    Invalid,
+
+    // Not known, or not known to be the newest; another control host may know.
+    Unsure,
+    NotFound,
+};
+
+// [SECTION] Dialect
+
+struct Dialect
+{
+    // Callers
+    CallerCall (*readCall)(const fabric::Request &request) = nullptr;
+
+    // A submitted job; rest is the path behind the queue's prefix.
+    std::optional<jobs::JobSpec> (*readJob)(const fabric::Request &request, const std::string &rest,
+                                            Error *reason) = nullptr;
+    fabric::Response (*writeJobAnswer)(const scheduler::JobAnswer &answer) = nullptr;
+    fabric::Response (*writeWaiting)(std::size_t jobs) = nullptr;
+    fabric::Response (*writeRefusal)(CallerRefusal refusal, const std::string &reason) = nullptr;
+
+    // The platform's question whether new connections should come here
+    bool (*asksReadiness)(const fabric::Request &request) = nullptr;
+    fabric::Response (*writeReadiness)(bool ready) = nullptr;
+
+    // Endpoints
+    std::optional<EndpointCall> (*readEndpointCall)(const fabric::Request &request,
+                                                    Error *reason) = nullptr;
+    fabric::Response (*writeEndpointAnswer)(bool understood, const std::string &reason) = nullptr;
+    fabric::Request (*writeStart)(const runner::StartOrder &order) = nullptr;
+    fabric::Request (*writeStop)(const runner::StopOrder &order) = nullptr;
+    fabric::Request (*writeLook)(const runner::LookOrder &order) = nullptr;
+    runner::Answered (*readAnswer)(const fabric::Response &response) = nullptr;
+    runner::Look (*readLook)(const fabric::Response &response) = nullptr;
+
+    // Operators
+    OperatorWish (*readOperatorCall)(const fabric::Request &request) = nullptr;
+    std::optional<catalog::DeclaredCatalog> (*readCatalog)(const fabric::Request &request,
+                                                           Error *reason) = nullptr;
+    fabric::Response (*writeOperatorAnswer)(OperatorOutcome outcome,
+                                            const std::string &reason) = nullptr;
+    fabric::Response (*writeCatalog)(const catalog::DeclaredCatalog &declared) = nullptr;
+};
+
+} // namespace foxwing::fleet
--- /dev/null
+++ b/packages/fleet/src/agentshell.cpp
@@ -0,0 +1,301 @@
+/*
+    An agent of a fleet: entries on one side, its endpoint on the other, the runner between them.
+
+    [SECTION] Shell
+    [SECTION] Entries
+    [SECTION] Endpoint
+    [SECTION] Time
+*/
+#include <random>
+
+#include <foxwing/fabric/httpclient.h>
+
+#include "core.h"
+
+namespace foxwing::fleet {
+
+using eventlog::change;
+using fabric::ExchangePtr;
+
+// [SECTION] Shell
+
+namespace {
+
+// An order to the endpoint, on the same host, is answered in a few milliseconds; what is not there
+// by then is counted as unanswered.
+constexpr Milliseconds OrderTimeout { 60 };
+
+// On top of the time that a look waits at the endpoint.
+constexpr Milliseconds LookTimeout { 150 };
+
+// Before the end of the stop grace what still runs is stopped, so that its entries can start it
+// elsewhere.
+constexpr Milliseconds LastRuns { 1000 };
+constexpr Milliseconds LastWords { 300 };
+
+// Fences are milliseconds of the date with ten bits below them that differ between two lives of one
+// millisecond.
+constexpr unsigned FenceBits = 10;
+
+std::uint64_t firstFence()
+{
+    std::random_device device;
+    const auto date = static_cast<std::uint64_t>(wallClockNow().time_since_epoch().count());
+    return (date << FenceBits) | (device() & ((1U << FenceBits) - 1));
+}
+
+class AgentShell : public RoleShell
+{
+public:
+    AgentShell(Core &core, const Dialect &dialect)
+        : m_core(core)
+        , m_dialect(dialect)
+        , m_runner(runner::makeRunner(core.settings.runner, core.self.incarnation, firstFence()))
+        , m_endpoint(core.io, core.settings.endpointAddress, clientSettings())
+        , m_control(core, controlEvents())
+    { }
+
+    bool start(Error *reason) override;
+    void tick(Time now) override;
+    void reloaded() override { m_control.reloadSeeds(); }
+    void beginStop(Time now) override;
+    bool stopped(Time now) override;
+    std::vector<metrics::Sample> samples() const override;
+
+private:
+    static fabric::HttpClientSettings clientSettings();
+    static ControlEvents controlEvents();
+
+    void entryConnected(const std::shared_ptr<fabric::Link> &link);
+    void entryReceived(std::uint64_t session, std::string_view bytes);
+    void sendTo(std::uint64_t session, const Frame &frame);
+
+    void handleEndpoint(const ExchangePtr &exchange);
+    void orderStart(const runner::StartOrder &order);
+    void orderStop(const runner::StopOrder &order);
+    void orderLook(const runner::LookOrder &order);
+    runner::Answered answeredBy(const fabric::CallResult &result) const;
+    void carryOut(runner::RunnerActions &&actions);
+
+    Core &m_core;
+    const Dialect &m_dialect;
+    runner::RunnerState m_runner;
+    fabric::HttpClient m_endpoint;
+    std::unique_ptr<fabric::HttpServer> m_server;
+    std::unique_ptr<fabric::Listener> m_listener;
+    std::map<std::uint64_t, std::shared_ptr<fabric::Link>> m_entries;
+    std::uint64_t m_lastSession = 0;
+    Time m_stopBegan {};
+    ControlLinks m_control;
+};
+
+fabric::HttpClientSettings AgentShell::clientSettings()
+{
+    // One for the look and a few for orders; each costs a connection at the endpoint.
+    fabric::HttpClientSettings settings;
+    settings.mostConnections = 8;
+    return settings;
+}
+
+// An agent needs control only to be found.
+ControlEvents AgentShell::controlEvents()
+{
+    ControlEvents events;
+    events.directory = [](const std::string &, const directory::DirectoryUpdate &) {};
+    events.catalog = [](const catalog::Catalog &) {};
+    return events;
+}
+
+bool AgentShell::start(Error *reason)
+{
+    auto inner = fabric::listenAt(m_core.io, innerAddress(m_core.settings), reason);
+    if (!inner)
+        return false;
+    m_listener =
+            std::make_unique<fabric::Listener>(m_core.io, std::move(*inner), fabric::LinkLimits(),
+                                               [this](const std::shared_ptr<fabric::Link> &link) {
+                                                   entryConnected(link);
+                                               });
+    auto control = fabric::listenAt(m_core.io, m_core.settings.control, reason);
+    if (!control)
+        return false;
+    m_server = std::make_unique<fabric::HttpServer>(m_core.io, std::move(*control),
+                                                    fabric::HttpLimits(),
+                                                    [this](const ExchangePtr &exchange) {
+                                                        handleEndpoint(exchange);
+                                                    });
+    return true;
+}
+
+void AgentShell::carryOut(runner::RunnerActions &&actions)
+{
+    for (const eventlog::Event &event : actions.events)
+        writeEvent(m_core.log, event);
+    for (const runner::StopOrder &order : actions.stops)
+        orderStop(order);
+    for (const runner::StartOrder &order : actions.starts)
+        orderStart(order);
+    if (actions.look)
+        orderLook(*actions.look);
+    for (auto &[session, welcome] : actions.welcomes)
+        sendTo(session, Frame(std::move(welcome)));
+    for (auto &[session, update] : actions.updates)
+        sendTo(session, Frame(std::move(update)));
+    for (const std::uint64_t session : actions.closes) {
+        const auto entry = m_entries.find(session);
+        if (entry != m_entries.end())
+            entry->second->close();
+    }
+}
+
+// [SECTION] Entries
+
+void AgentShell::entryConnected(const std::shared_ptr<fabric::Link> &link)
+{
+    const std::uint64_t session = ++m_lastSession;
+    m_entries[session] = link;
+    link->start([this, session](std::string_view bytes) { entryReceived(session, bytes); },
+                [this, session] {
+                    m_entries.erase(session);
+                    carryOut(runner::closeSession(m_runner, session, steadyNow()));
+                });
+}
+
+void AgentShell::entryReceived(std::uint64_t session, std::string_view bytes)
+{
+    const Time now = steadyNow();
+    const auto frame = readFrame(m_core, m_entries.at(session)->remote(), bytes);
+    if (!frame)
+        return;
+    if (const auto *start = std::get_if<jobs::StartTasks>(&*frame))
+        carryOut(runner::startTasks(m_runner, session, *start, now));
+    else if (const auto *stop = std::get_if<jobs::StopRuns>(&*frame))
+        carryOut(runner::stopRuns(m_runner, session, *stop, now));
+    else if (const auto *beat = std::get_if<jobs::SessionBeat>(&*frame))
+        carryOut(runner::sessionBeat(m_runner, session, beat->number, now));
+    else if (const auto *open = std::get_if<OpenSession>(&*frame))
+        carryOut(runner::openSession(m_runner, session, open->entry, now));
+}
+
+void AgentShell::sendTo(std::uint64_t session, const Frame &frame)
+{
+    const auto entry = m_entries.find(session);
+    if (entry != m_entries.end())
+        entry->second->send(encodeFrame(frame));
+}
+
+// [SECTION] Endpoint
+
+void AgentShell::handleEndpoint(const ExchangePtr &exchange)
+{
+    Error reason;
+    const auto call = m_dialect.readEndpointCall(exchange->request(), &reason);
+    if (!call) {
+        writeEvent(m_core.log, change("endpoint-unreadable").with("reason", reason.message));
+        return exchange->answer(m_dialect.writeEndpointAnswer(false, reason.message));
+    }
+    const Time now = steadyNow();
+    if (call->wish == EndpointWish::Leave)
+        carryOut(runner::endpointLeft(m_runner, call->life, now));
+    else
+        carryOut(runner::endpointHeard(m_runner, call->report, now));
+    exchange->answer(m_dialect.writeEndpointAnswer(true, ""));
+}
+
+runner::Answered AgentShell::answeredBy(const fabric::CallResult &result) const
+{
+    if (result.failure == fabric::CallFailure::Refused)
+        return { runner::Answer::Unreachable, std::nullopt };
+    if (result.failure == fabric::CallFailure::NoAnswer)
+        return { runner::Answer::None, std::nullopt };
+    return m_dialect.readAnswer(*result.response);
+}
+
+void AgentShell::orderStart(const runner::StartOrder &order)
+{
+    m_endpoint.call(m_dialect.writeStart(order), OrderTimeout,
+                    [this, id = order.id](const fabric::CallResult &result) {
+                        carryOut(runner::startAnswered(m_runner, id, answeredBy(result),
+                                                       steadyNow()));
+                    });
+}
+
+void AgentShell::orderStop(const runner::StopOrder &order)
+{
+    m_endpoint.call(m_dialect.writeStop(order), OrderTimeout,
+                    [this, id = order.id](const fabric::CallResult &result) {
+                        carryOut(runner::stopAnswered(m_runner, id, answeredBy(result),
+                                                      steadyNow()));
+                    });
+}
+
+void AgentShell::orderLook(const runner::LookOrder &order)
+{
+    m_endpoint.call(m_dialect.writeLook(order), order.wait + LookTimeout,
+                    [this, number = order.number](const fabric::CallResult &result) {
+                        runner::Look look;
+                        if (result.response)
+                            look = m_dialect.readLook(*result.response);
+                        else
+                            look.answered = answeredBy(result);
+                        carryOut(runner::lookAnswered(m_runner, number, look, steadyNow()));
+                    });
+}
+
+// [SECTION] Time
+
+void AgentShell::tick(Time now)
+{
+    m_control.tick(now);
+    carryOut(runner::tick(m_runner, now));
+}
+
+void AgentShell::beginStop(Time now)
+{
+    m_stopBegan = now;
+    carryOut(runner::beginStop(m_runner, now));
+}
+
+bool AgentShell::stopped(Time now)
+{
+    const Milliseconds grace = m_core.settings.stopGrace;
+    if (now >= m_stopBegan + grace - LastRuns)
+        carryOut(runner::stopAll(m_runner, now));
+    // The last ends are on their way to the entries for a moment.
+    const bool told = now >= m_stopBegan + LastWords;
+    return (told && runner::finished(m_runner)) || now >= m_stopBegan + grace - LastWords;
+}
+
+std::vector<metrics::Sample> AgentShell::samples() const
+{
+    const auto count = [](std::uint64_t value) { return static_cast<double>(value); };
+    std::vector<metrics::Sample> samples {
+        { "foxwing_runs_started_total", "Starts ordered", count(m_runner.started) },
+        { "foxwing_runs_done_total", "Runs done", count(m_runner.done) },
+        { "foxwing_runs_failed_total", "Runs failed", count(m_runner.failed) },
+        { "foxwing_runs_stopped_total", "Runs stopped, lapsed or lost", count(m_runner.stopped) },
+        { "foxwing_starts_refused_total", "Starts that never began", count(m_runner.refused) },
+        { "foxwing_orders_unanswered_total", "Starts without an answer",
+          count(m_runner.unanswered) },
+        { "foxwing_endpoint_connections_total", "Connections opened to the endpoint",
+          count(m_endpoint.opened()) },
+    };
+    const auto gauge = [&](const char *name, const char *help, double value) {
+        samples.push_back({ name, help, value, true });
+    };
+    gauge("foxwing_runs", "Runs that take room", count(m_runner.runs.size()));
+    gauge("foxwing_sessions", "Entries in touch", count(m_runner.sessions.size()));
+    gauge("foxwing_endpoint_pace", "Time taken against estimates", m_runner.pace);
+    gauge("foxwing_endpoint_bad", "Evidence against the endpoint, 0 to 1", m_runner.bad);
+    gauge("foxwing_control_hosts", "Control hosts in touch", count(m_control.connected()));
+    return samples;
+}
+
+} // namespace
+
+std::unique_ptr<RoleShell> makeAgentShell(Core &core, const Dialect &dialect)
+{
+    return std::make_unique<AgentShell>(core, dialect);
+}
+
+} // namespace foxwing::fleet
--- /dev/null
+++ b/packages/fleet/src/core.cpp
@@ -0,0 +1,139 @@
+/*
+    Connections to control.
+
+    [SECTION] Frames
+    [SECTION] Control links
+*/
+#include "core.h"
+
+namespace foxwing::fleet {
+
+using eventlog::change;
+
+// [SECTION] Frames
+
+std::optional<Frame> readFrame(Core &core, const std::string &from, std::string_view bytes)
+{
+    Error reason;
+    auto frame = decodeFrame<Frame>(bytes, &reason);
+    if (!frame)
+        writeEvent(core.log,
+                   change("frame-unreadable").with("from", from).with("reason", reason.message));
+    return frame;
+}
+
+// [SECTION] Control links
+
+namespace {
+
+// A node tells control that it is there twice a second; four of these lost, and the connection is
+// dialled anew.
+constexpr Milliseconds ControlBeat { 500 };
+constexpr Milliseconds ControlSilence { 2000 };
+
+// Control hosts that a node keeps connections to; the group has seven voters at the most, and
+// others may be on their way in or out.
+constexpr std::size_t MostControlPeers = 12;
+
+} // namespace
+
+struct ControlLinks::Peer
+{
+    std::unique_ptr<fabric::Dialer> dialer;
+    std::shared_ptr<fabric::Link> link;
+    Time heardAt {};
+    Time sentAt {};
+    bool wasLost = false;
+};
+
+ControlLinks::ControlLinks(Core &core, ControlEvents events)
+    : m_core(core)
+    , m_events(std::move(events))
+{
+    reloadSeeds();
+}
+
+ControlLinks::~ControlLinks() = default;
+
+void ControlLinks::reloadSeeds()
+{
+    for (const std::string &seed : seedAddresses(m_core.settings))
+        keep(seed);
+}
+
+void ControlLinks::keep(const std::string &address)
+{
+    if (m_peers.count(address) != 0 || m_peers.size() >= MostControlPeers)
+        return;
+    Peer &peer = *m_peers.emplace(address, std::make_unique<Peer>()).first->second;
+    peer.dialer =
+            std::make_unique<fabric::Dialer>(m_core.io, address, fabric::DialerSettings(),
+                                             [this,
+                                              &peer](const std::shared_ptr<fabric::Link> &link) {
+                                                 connected(peer, link);
+                                             });
+}
+
+void ControlLinks::connected(Peer &peer, const std::shared_ptr<fabric::Link> &link)
+{
+    const Time now = steadyNow();
+    peer.link = link;
+    peer.heardAt = now;
+    peer.sentAt = now;
+    link->start([this, &peer](std::string_view bytes) { received(peer, bytes); },
+                [this, &peer] {
+                    writeEvent(m_core.log,
+                               change("control-lost")
+                                       .with("host", peer.dialer->address())
+                                       .with("heard_ms_ago", steadyNow() - peer.heardAt));
+                    peer.link.reset();
+                    peer.wasLost = true;
+                    peer.dialer->lost();
+                });
+    link->send(encodeFrame(Frame(directory::Announce { m_core.self })));
+    writeEvent(m_core.log,
+               change(peer.wasLost ? "control-regained" : "control-connected")
+                       .with("host", peer.dialer->address()));
+}
+
+void ControlLinks::received(Peer &peer, std::string_view bytes)
+{
+    peer.heardAt = steadyNow();
+    const std::string from = peer.dialer->address();
+    const auto frame = readFrame(m_core, from, bytes);
+    if (!frame)
+        return;
+    if (const auto *update = std::get_if<directory::DirectoryUpdate>(&*frame)) {
+        for (const directory::NodeInfo &node : update->nodes) {
+            if (node.role == directory::Role::Control)
+                keep(node.address);
+        }
+        m_events.directory(from, *update);
+    } else if (const auto *push = std::get_if<CatalogPush>(&*frame)) {
+        m_events.catalog(push->catalog);
+    }
+}
+
+void ControlLinks::tick(Time now)
+{
+    for (auto &[address, peer] : m_peers) {
+        if (!peer->link)
+            continue;
+        if (now >= peer->heardAt + ControlSilence) {
+            peer->link->close();
+        } else if (now >= peer->sentAt + ControlBeat) {
+            peer->sentAt = now;
+            peer->link->send(encodeFrame(Frame(directory::NodeBeat {})));
+        }
+    }
+}
+
+std::size_t ControlLinks::connected() const
+{
+    std::size_t count = 0;
+    for (const auto &[address, peer] : m_peers)
+        count += peer->link ? 1 : 0;
+    return count;
+}
+
+} // namespace foxwing::fleet
--- /dev/null
+++ b/packages/fleet/src/entryshell.cpp
@@ -0,0 +1,454 @@
+/*
+    An entry of a fleet: callers on one side, agents on the other, the scheduler between them.
+
+    [SECTION] Shell
+    [SECTION] Callers
+    [SECTION] Agents
+    [SECTION] Control
+    [SECTION] Time
+*/
+#include <algorithm>
+
+#include <foxwing/fabric/httpserver.h>
+
+#include "core.h"
+
+namespace foxwing::fleet {
+
+using eventlog::change;
+using eventlog::Event;
+using fabric::ExchangePtr;
+
+// [SECTION] Shell
+
+namespace {
+
+// A loop that stood still for this long was frozen, or had no processor: agents have stopped what
+// it started, or are about to, and callers have given it up.
+constexpr Milliseconds PauseSpan { 400 };
+
+// The platform asks for readiness every second and sends nobody after two misses.
+constexpr Milliseconds StopNotice { 2300 };
+
+// Before the end of the stop grace: no new job is taken, and the rest of what runs is answered.
+constexpr Milliseconds LastJobs { 1800 };
+constexpr Milliseconds LastAnswers { 300 };
+
+// An agent that no control host lists is forgotten once its connection is gone as well.
+struct AgentPeer
+{
+    std::unique_ptr<fabric::Dialer> dialer;
+    std::shared_ptr<fabric::Link> link;
+};
+
+class EntryShell : public RoleShell
+{
+public:
+    EntryShell(Core &core, const Dialect &dialect)
+        : m_core(core)
+        , m_dialect(dialect)
+        , m_scheduler(scheduler::makeScheduler(core.settings.scheduler))
+        , m_control(core, controlEvents())
+    { }
+
+    bool start(Error *reason) override;
+    void tick(Time now) override;
+    void reloaded() override { m_control.reloadSeeds(); }
+    void beginStop(Time now) override;
+    bool stopped(Time now) override;
+    std::vector<metrics::Sample> samples() const override;
+
+private:
+    // Callers
+    void handleCaller(const ExchangePtr &exchange);
+    void handleReadiness(const ExchangePtr &exchange);
+    void submit(const ExchangePtr &exchange, const CallerCall &call,
+                const catalog::QueueDeclaration &queue);
+    void refuse(const ExchangePtr &exchange, CallerRefusal refusal, const std::string &reason);
+    void callerGone(std::uint64_t number, const ExchangePtr &exchange);
+    bool ready() const;
+
+    // Agents
+    void keepAgent(const std::string &address);
+    void agentConnected(const std::string &address, const std::shared_ptr<fabric::Link> &link);
+    void agentReceived(const std::string &address, std::string_view bytes);
+    void agentClosed(const std::string &address);
+    void forgetAgents(const std::set<std::string> &listed);
+
+    // Control
+    ControlEvents controlEvents();
+    void takeDirectory(const std::string &from, const directory::DirectoryUpdate &update);
+    void takeCatalog(const catalog::Catalog &catalog);
+
+    void carryOut(scheduler::SchedulerActions &&actions);
+    void answer(const scheduler::JobAnswer &answer);
+    void checkPause(Time now);
+
+    Core &m_core;
+    const Dialect &m_dialect;
+    scheduler::SchedulerState m_scheduler;
+    catalog::Catalog m_catalog;
+    Time m_catalogAt {};
+    std::map<std::string, AgentPeer> m_agents;
+
+    // By control host
+    std::map<std::string, std::set<std::string>> m_listed;
+    std::map<std::uint64_t, std::vector<ExchangePtr>> m_waiting;
+    std::map<std::uint64_t, std::string> m_queueOf;
+    std::map<std::uint64_t, Time> m_cameAt;
+    std::unique_ptr<fabric::HttpServer> m_callers;
+    std::unique_ptr<fabric::HttpServer> m_readiness;
+    Time m_lastTurn {};
+    bool m_stopping = false;
+    Time m_stopBegan {};
+    std::uint64_t m_notFound = 0;
+    std::uint64_t m_badRequests = 0;
+    ControlLinks m_control;
+};
+
+bool EntryShell::start(Error *reason)
+{
+    auto callers = fabric::listenAt(m_core.io, m_core.settings.callers, reason);
+    if (!callers)
+        return false;
+    fabric::HttpLimits limits;
+    m_callers = std::make_unique<fabric::HttpServer>(m_core.io, std::move(*callers), limits,
+                                                     [this](const ExchangePtr &exchange) {
+                                                         handleCaller(exchange);
+                                                     });
+    if (m_core.settings.readiness.empty())
+        return true;
+    auto readiness = fabric::listenAt(m_core.io, m_core.settings.readiness, reason);
+    if (!readiness)
+        return false;
+    m_readiness = std::make_unique<fabric::HttpServer>(m_core.io, std::move(*readiness), limits,
+                                                       [this](const ExchangePtr &exchange) {
+                                                           handleReadiness(exchange);
+                                                       });
+    m_lastTurn = steadyNow();
+    return true;
+}
+
+// [SECTION] Callers
+
+bool EntryShell::ready() const
+{
+    return !m_stopping && m_catalog.version > 0 && scheduler::reachesEndpoints(m_scheduler);
+}
+
+void EntryShell::handleReadiness(const ExchangePtr &exchange)
+{
+    if (m_dialect.asksReadiness(exchange->request()))
+        exchange->answer(m_dialect.writeReadiness(ready()));
+    else
+        exchange->answer(fabric::makeResponse(404, "text/plain", ""));
+}
+
+void EntryShell::refuse(const ExchangePtr &exchange, CallerRefusal refusal,
+                        const std::string &reason)
+{
+    writeEvent(m_core.log,
+               Event("call-refused")
+                       .with("target", std::string(exchange->request().target()))
+                       .with("reason", reason)
+                       .with("catalog", m_catalog.version)
+                       .with("catalog_age_ms", steadyNow() - m_catalogAt));
+    exchange->answer(m_dialect.writeRefusal(refusal, reason));
+}
+
+void EntryShell::handleCaller(const ExchangePtr &exchange)
+{
+    checkPause(steadyNow());
+    const CallerCall call = m_dialect.readCall(exchange->request());
+    if (m_catalog.version == 0)
+        return refuse(exchange, CallerRefusal::NotConfigured, "no catalog has come yet");
+    const catalog::QueueDeclaration *queue = catalog::findQueue(m_catalog, call.host, call.path);
+    if (!queue) {
+        ++m_notFound;
+        return refuse(exchange, CallerRefusal::NoSuchQueue, "no queue has this host and path");
+    }
+    switch (call.wish) {
+    case CallerWish::Submit:
+        return submit(exchange, call, *queue);
+    case CallerWish::AskWaiting:
+        // Jobs that are answered when they end are in nobody's count.
+        return exchange->answer(m_dialect.writeWaiting(0));
+    case CallerWish::AskState:
+    case CallerWish::Cancel:
+        return refuse(exchange, CallerRefusal::Gone, "no job is kept under this id");
+    case CallerWish::Other:
+        break;
+    }
+    refuse(exchange, CallerRefusal::BadRequest, "this is no call of the interface");
+}
+
+void EntryShell::submit(const ExchangePtr &exchange, const CallerCall &call,
+                        const catalog::QueueDeclaration &queue)
+{
+    Error reason;
+    const auto spec = m_dialect.readJob(exchange->request(), call.path.substr(queue.prefix.size()),
+                                        &reason);
+    if (!spec) {
+        ++m_badRequests;
+        return refuse(exchange, CallerRefusal::BadRequest, reason.message);
+    }
+    const Time now = steadyNow();
+    scheduler::JobTerms terms;
+    terms.queue = queue.name;
+    terms.service = queue.service;
+    terms.priority = queue.priority;
+    terms.attempts = queue.attempts;
+    terms.stretch = queue.stretch;
+    terms.targetLatency = queue.targetLatency;
+    terms.deadline = now + std::min(queue.timeout, call.patience.value_or(queue.timeout));
+    std::uint64_t number = 0;
+    scheduler::SchedulerActions actions = scheduler::submit(m_scheduler, *spec, terms, now,
+                                                            &number);
+    m_waiting[number].push_back(exchange);
+    m_queueOf[number] = queue.name;
+    m_cameAt.emplace(number, now);
+    exchange->onGone([this, number, weak = std::weak_ptr<fabric::Exchange>(exchange)] {
+        if (const auto gone = weak.lock())
+            callerGone(number, gone);
+    });
+    carryOut(std::move(actions));
+}
+
+void EntryShell::callerGone(std::uint64_t number, const ExchangePtr &exchange)
+{
+    const auto found = m_waiting.find(number);
+    if (found == m_waiting.end())
+        return;
+    std::vector<ExchangePtr> &waiting = found->second;
+    waiting.erase(std::remove(waiting.begin(), waiting.end(), exchange), waiting.end());
+    if (!waiting.empty())
+        return;
+    m_waiting.erase(found);
+    m_queueOf.erase(number);
+    m_cameAt.erase(number);
+    carryOut(scheduler::abandon(m_scheduler, number, steadyNow()));
+}
+
+void EntryShell::answer(const scheduler::JobAnswer &answer)
+{
+    const auto found = m_waiting.find(answer.number);
+    if (found == m_waiting.end())
+        return;
+    metrics::observe(m_core.metrics, "foxwing_job_ms",
+                     { m_queueOf[answer.number], scheduler::toString(answer.outcome) },
+                     toMilliseconds(steadyNow() - m_cameAt[answer.number]));
+    for (const ExchangePtr &exchange : found->second)
+        exchange->answer(m_dialect.writeJobAnswer(answer));
+    m_waiting.erase(found);
+    m_queueOf.erase(answer.number);
+    m_cameAt.erase(answer.number);
+}
+
+void EntryShell::carryOut(scheduler::SchedulerActions &&actions)
+{
+    for (const eventlog::Event &event : actions.events)
+        writeEvent(m_core.log, event);
+    for (scheduler::AgentSend &send : actions.sends) {
+        const auto agent = m_agents.find(send.agent);
+        if (agent == m_agents.end() || !agent->second.link)
+            continue;
+        agent->second.link->send(
+                std::visit([](auto &message) { return encodeFrame(Frame(std::move(message))); },
+                           send.message));
+    }
+    for (const scheduler::JobAnswer &given : actions.answers)
+        answer(given);
+    for (const std::string &name : actions.closes) {
+        const auto agent = m_agents.find(name);
+        if (agent != m_agents.end() && agent->second.link)
+            agent->second.link->close();
+    }
+}
+
+// [SECTION] Agents
+
+void EntryShell::keepAgent(const std::string &address)
+{
+    if (m_agents.count(address) != 0)
+        return;
+    AgentPeer &peer = m_agents[address];
+    peer.dialer =
+            std::make_unique<fabric::Dialer>(m_core.io, address, fabric::DialerSettings(),
+                                             [this,
+                                              address](const std::shared_ptr<fabric::Link> &link) {
+                                                 agentConnected(address, link);
+                                             });
+}
+
+void EntryShell::agentConnected(const std::string &address,
+                                const std::shared_ptr<fabric::Link> &link)
+{
+    m_agents.at(address).link = link;
+    link->start([this, address](std::string_view bytes) { agentReceived(address, bytes); },
+                [this, address, link = link.get()] {
+                    const auto agent = m_agents.find(address);
+                    if (agent != m_agents.end() && agent->second.link.get() == link)
+                        agentClosed(address);
+                });
+    link->send(encodeFrame(Frame(OpenSession { m_core.settings.name })));
+    carryOut(scheduler::agentConnected(m_scheduler, address, steadyNow()));
+}
+
+void EntryShell::agentReceived(const std::string &address, std::string_view bytes)
+{
+    const Time now = steadyNow();
+    checkPause(now);
+    const auto frame = readFrame(m_core, address, bytes);
+    if (!frame)
+        return;
+    if (const auto *update = std::get_if<jobs::AgentUpdate>(&*frame))
+        carryOut(scheduler::agentUpdated(m_scheduler, address, *update, now));
+    else if (const auto *welcome = std::get_if<jobs::Welcome>(&*frame))
+        carryOut(scheduler::agentWelcomed(m_scheduler, address, *welcome, now));
+}
+
+void EntryShell::agentClosed(const std::string &address)
+{
+    AgentPeer &peer = m_agents.at(address);
+    peer.link.reset();
+    peer.dialer->lost();
+    carryOut(scheduler::agentLost(m_scheduler, address, steadyNow()));
+}
+
+void EntryShell::forgetAgents(const std::set<std::string> &listed)
+{
+    for (auto item = m_agents.begin(); item != m_agents.end();) {
+        const bool forget = !item->second.link && listed.count(item->first) == 0;
+        item = forget ? m_agents.erase(item) : std::next(item);
+    }
+}
+
+// [SECTION] Control
+
+ControlEvents EntryShell::controlEvents()
+{
+    ControlEvents events;
+    events.directory = [this](const std::string &from, const directory::DirectoryUpdate &update) {
+        takeDirectory(from, update);
+    };
+    events.catalog = [this](const catalog::Catalog &catalog) { takeCatalog(catalog); };
+    return events;
+}
+
+void EntryShell::takeDirectory(const std::string &from, const directory::DirectoryUpdate &update)
+{
+    std::set<std::string> &told = m_listed[from];
+    told.clear();
+    for (const directory::NodeInfo &node : update.nodes) {
+        if (node.role != directory::Role::Agent)
+            continue;
+        told.insert(node.address);
+        keepAgent(node.address);
+    }
+    m_scheduler.entries = std::max<std::uint32_t>(1, update.entries);
+    std::set<std::string> all;
+    for (const auto &[host, addresses] : m_listed)
+        all.insert(addresses.begin(), addresses.end());
+    forgetAgents(all);
+}
+
+void EntryShell::takeCatalog(const catalog::Catalog &catalog)
+{
+    if (!catalog::supersedes(m_catalog, catalog))
+        return;
+    writeEvent(m_core.log,
+               change("catalog-in-force")
+                       .with("version", catalog.version)
+                       .with("before", m_catalog.version)
+                       .with("queues", std::uint64_t { catalog.queues.size() }));
+    m_catalog = catalog;
+    m_catalogAt = steadyNow();
+    fabric::HttpLimits limits;
+    limits.headerBytes = catalog.limits.headerBytes;
+    limits.bodyBytes = catalog.limits.bodyBytes;
+    limits.headerTimeout = catalog.limits.headerTimeout;
+    limits.idleTimeout = catalog.limits.idleTimeout;
+    m_callers->setLimits(limits);
+}
+
+// [SECTION] Time
+
+void EntryShell::checkPause(Time now)
+{
+    const Microseconds pause = now - m_lastTurn;
+    m_lastTurn = now;
+    if (pause < PauseSpan)
+        return;
+    writeEvent(m_core.log, change("paused").with("for_ms", pause));
+    carryOut(scheduler::giveUpAll(m_scheduler, "this entry stood still", now));
+    for (auto &[address, peer] : m_agents) {
+        if (peer.link)
+            peer.link->close();
+    }
+}
+
+void EntryShell::tick(Time now)
+{
+    checkPause(now);
+    m_control.tick(now);
+    carryOut(scheduler::tick(m_scheduler, now));
+}
+
+void EntryShell::beginStop(Time now)
+{
+    m_stopping = true;
+    m_stopBegan = now;
+    m_callers->closeAfterAnswers();
+}
+
+bool EntryShell::stopped(Time now)
+{
+    const Milliseconds grace = m_core.settings.stopGrace;
+    const bool quiet = m_callers->underWay() == 0;
+    if (now >= m_stopBegan + StopNotice && quiet && m_callers->connections() == 0)
+        return true;
+    if (now >= m_stopBegan + grace - LastJobs)
+        m_callers->stopAccepting();
+    return now >= m_stopBegan + grace - LastAnswers
+            || (quiet && now >= m_stopBegan + grace - LastJobs);
+}
+
+std::vector<metrics::Sample> EntryShell::samples() const
+{
+    const scheduler::SchedulerCounters &counters = m_scheduler.counters;
+    const auto count = [](std::uint64_t value) { return static_cast<double>(value); };
+    std::vector<metrics::Sample> samples {
+        { "foxwing_jobs_submitted_total", "Jobs taken in", count(counters.submitted) },
+        { "foxwing_jobs_completed_total", "Jobs answered as completed", count(counters.completed) },
+        { "foxwing_jobs_failed_total", "Jobs answered as failed", count(counters.failed) },
+        { "foxwing_jobs_refused_total", "Jobs answered as not run", count(counters.refused) },
+        { "foxwing_jobs_timed_out_total", "Jobs given up after they began",
+          count(counters.timedOut) },
+        { "foxwing_jobs_abandoned_total", "Jobs whose caller went", count(counters.abandoned) },
+        { "foxwing_starts_total", "Starts sent to agents", count(counters.starts) },
+        { "foxwing_starts_refused_total", "Starts that never began",
+          count(counters.startsRefused) },
+        { "foxwing_runs_moved_total", "Runs stopped for being behind", count(counters.runsMoved) },
+        { "foxwing_runs_lost_total", "Runs on agents that were lost", count(counters.runsLost) },
+        { "foxwing_not_found_total", "Calls without a queue", count(m_notFound) },
+        { "foxwing_bad_requests_total", "Jobs that could not be read", count(m_badRequests) },
+    };
+    const auto gauge = [&](const char *name, const char *help, std::size_t value) {
+        samples.push_back({ name, help, static_cast<double>(value), true });
+    };
+    gauge("foxwing_jobs_open", "Jobs not answered yet", scheduler::openJobs(m_scheduler));
+    gauge("foxwing_jobs_waiting", "Jobs with tasks that wait", m_scheduler.queue.size());
+    gauge("foxwing_agents", "Agents in touch", m_scheduler.agents.size());
+    gauge("foxwing_control_hosts", "Control hosts in touch", m_control.connected());
+    gauge("foxwing_catalog_version", "Catalog in force", m_catalog.version);
+    return samples;
+}
+
+} // namespace
+
+std::unique_ptr<RoleShell> makeEntryShell(Core &core, const Dialect &dialect)
+{
+    return std::make_unique<EntryShell>(core, dialect);
+}
+
+} // namespace foxwing::fleet
--- /dev/null
+++ b/packages/fleet/src/settings.cpp
@@ -0,0 +1,164 @@
+/*
+    Reading and checking the settings file of a fleet's process.
+
+    [SECTION] Tables
+    [SECTION] Functions
+*/
+#include <foxwing/fleet/settings.h>
+
+#include <fstream>
+#include <sstream>
+
+#include <foxwing/fabric/address.h>
+#include <foxwing/settings/tomlreader.h>
+
+namespace foxwing::fleet {
+
+using settings::TomlReader;
+
+// [SECTION] Tables
+
+namespace {
+
+constexpr int HighestPort = 65535;
+
+// An agent's silence bound and its endpoint's lease must end a run before its caller sends the job
+// again.
+constexpr Milliseconds ResendMargin { 100 };
+
+void readNode(TomlReader table, FleetSettings &settings)
+{
+    std::string role = directory::toString(settings.role);
+    table.text("name", settings.name);
+    table.text("role", role);
+    table.text("data_centre", settings.dataCentre);
+    table.text("ip", settings.ip);
+    table.text("data_folder", settings.dataFolder);
+    if (role == "control")
+        settings.role = directory::Role::Control;
+    else if (role == "agent")
+        settings.role = directory::Role::Agent;
+    else if (role != "entry")
+        table.refuse("role", "must be \"entry\", \"agent\" or \"control\"");
+    if (settings.name.empty())
+        table.refuse("name", "must name this process");
+    if (settings.role == directory::Role::Control && settings.dataFolder.empty())
+        table.refuse("data_folder", "must name the folder for a control host's journal");
+    table.finish();
+}
+
+void readCluster(TomlReader table, FleetSettings &settings)
+{
+    table.whole("inner_port", settings.innerPort, 1, HighestPort);
+    table.list("seeds", settings.seeds);
+    table.flag("first_start", settings.firstStart);
+    if (settings.innerPort == 0)
+        table.refuse("inner_port", "must be the port for the fleet's own messages");
+    if (settings.seeds.empty())
+        table.refuse("seeds", "must name the address of at least one control host");
+    table.finish();
+}
+
+void readListen(TomlReader table, FleetSettings &settings)
+{
+    table.text("callers", settings.callers);
+    table.text("readiness", settings.readiness);
+    table.text("control", settings.control);
+    table.text("metrics", settings.metrics);
+    if (settings.role == directory::Role::Entry && settings.callers.empty())
+        table.refuse("callers", "must be the address for callers");
+    if (settings.role != directory::Role::Entry && settings.control.empty())
+        table.refuse("control", "must be the address for operators or for the endpoint");
+    table.finish();
+}
+
+void readEndpoint(TomlReader table, FleetSettings &settings)
+{
+    table.text("address", settings.endpointAddress);
+    if (settings.role == directory::Role::Agent && settings.endpointAddress.empty())
+        table.refuse("address", "must be the address of the agent's endpoint");
+    table.finish();
+}
+
+// The platform gives some spans as numbers without a unit: the key names it.
+void readTiming(TomlReader table, FleetSettings &settings)
+{
+    constexpr double MostSeconds = 600;
+    double grace = std::chrono::duration<double>(settings.stopGrace).count();
+    std::int64_t resend = settings.resendAfter.count();
+    table.number("stop_grace_seconds", grace, 0.5, MostSeconds);
+    table.whole("resend_after_milliseconds", resend, 1, 600000);
+    settings.stopGrace = Milliseconds(static_cast<std::int64_t>(grace * 1000));
+    settings.resendAfter = Milliseconds(resend);
+    table.finish();
+}
+
+// Where callers send again sooner than the usual bounds allow, the bounds shrink with it.
+void fitToResend(FleetSettings &settings)
+{
+    scheduler::SchedulerSettings &entry = settings.scheduler;
+    runner::RunnerSettings &agent = settings.runner;
+    const Milliseconds most = settings.resendAfter - ResendMargin;
+    if (entry.certainSilence <= most || most.count() <= 0)
+        return;
+    const double factor = static_cast<double>(most.count())
+            / static_cast<double>(entry.certainSilence.count());
+    const auto shrink = [factor](Milliseconds &span) {
+        span = Milliseconds(static_cast<std::int64_t>(static_cast<double>(span.count()) * factor));
+    };
+    shrink(entry.certainSilence);
+    shrink(entry.agentSilence);
+    shrink(entry.beatInterval);
+    shrink(agent.ownerSilence);
+    shrink(agent.leaseSpan);
+}
+
+} // namespace
+
+// [SECTION] Functions
+
+std::optional<FleetSettings> parseFleetSettings(const std::string &text, const std::string &path,
+                                                Error *reason)
+{
+    *reason = Error {};
+    auto document = settings::parseToml(text, path, reason);
+    if (!document)
+        return std::nullopt;
+    FleetSettings settings;
+    TomlReader root(std::move(*document), path, reason);
+    readNode(root.table("node"), settings);
+    readCluster(root.table("cluster"), settings);
+    readListen(root.table("listen"), settings);
+    readEndpoint(root.table("endpoint"), settings);
+    readTiming(root.table("timing"), settings);
+    if (!root.finish())
+        return std::nullopt;
+    fitToResend(settings);
+    return settings;
+}
+
+std::optional<FleetSettings> readFleetSettings(const std::string &path, Error *reason)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file)
+        return fail(reason, ErrorKind::NotFound,
+                    path + ": can't be read; name an existing settings file");
+    return parseFleetSettings(text.str(), path, reason);
+}
+
+std::vector<std::string> seedAddresses(const FleetSettings &settings)
+{
+    std::vector<std::string> addresses;
+    for (const std::string &seed : settings.seeds)
+        addresses.push_back(fabric::hostOf(seed) + ":" + std::to_string(settings.innerPort));
+    return addresses;
+}
+
+std::string innerAddress(const FleetSettings &settings)
+{
+    return settings.ip + ":" + std::to_string(settings.innerPort);
+}
+
+} // namespace foxwing::fleet
--- a/packages/node/include/foxwing/node/loop.h
+++ b/packages/node/include/foxwing/node/loop.h
@@ -16,7 +16,7 @@
 #include <mutex>
 #include <vector>
 
-#include <foxwing/base/time.h>
+#include <foxwing/base/clock.h>
 
 namespace foxwing::node {
 
@@ -45,8 +45,4 @@
     bool m_stopping = false;
 };
 
-// Readings of the clocks, for the shell only.
-Time steadyNow();
-WallTime wallClockNow();
-
 } // namespace foxwing::node
--- a/packages/node/src/loop.cpp
+++ b/packages/node/src/loop.cpp
@@ -2,7 +2,6 @@
     The loop and the clocks.
 
     [SECTION] Loop
-    [SECTION] Clocks
 */
 #include <foxwing/node/loop.h>
 
@@ -59,16 +58,4 @@
     m_wakeUp.notify_one();
 }
 
-// [SECTION] Clocks
-
-Time steadyNow()
-{
-    return std::chrono::time_point_cast<Microseconds>(std::chrono::steady_clock::now());
-}
-
-WallTime wallClockNow()
-{
-    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
-}
-
 } // namespace foxwing::node
--- a/packages/quorum/include/foxwing/quorum/quorum.h
+++ b/packages/quorum/include/foxwing/quorum/quorum.h
@@ -46,6 +46,19 @@
 
     // Entries in one message
     std::size_t mostEntries = 64;
+
+    // The hosts bring themselves in, see adviseMembers(); an even number of voters is then allowed
+    // on the way.
+    bool selfManaged = false;
+
+    // A self-managed group removes a voter that was not heard for this long, if enough are left.
+    // Longer than any restart or cut that a host is to return from.
+    Milliseconds forgetVoterAfter { 20000 };
+
+    // Voters that a self-managed group keeps, however long they are silent: with five, two may be
+    // lost at once.
+    std::size_t leastVoters = 5;
+    std::size_t mostVoters = 7;
 };
 
 // [SECTION] State
@@ -192,6 +205,21 @@
 std::optional<QuorumActions> proposeMembers(QuorumState &quorum, const Members &members, Time now,
                                             Error *reason);
 
+// A control host that is there, and may not be a member yet.
+struct Candidate
+{
+    std::string id;
+
+    // Where it is reached. A host whose disk was lost comes back there under another id.
+    std::string address;
+};
+
+// The next change of members for a self-managed group: brings in hosts that are there, first as
+// learners, lets those vote that have caught up, removes a voter whose place was taken by a host
+// with a new disk. Nothing if all is as it should be, or this host can't change it now.
+std::optional<Members> adviseMembers(const QuorumState &quorum,
+                                     const std::vector<Candidate> &candidates, Time now);
+
 // Confirms that this host still leads; the read with this id is answered later.
 QuorumActions requestRead(QuorumState &quorum, std::uint64_t id, Time now);
 
--- a/packages/quorum/src/members.cpp
+++ b/packages/quorum/src/members.cpp
@@ -3,6 +3,7 @@
 
     [SECTION] Present members
     [SECTION] Changes
+    [SECTION] Self-managed groups
 */
 #include "internal.h"
 
@@ -82,7 +83,7 @@
     // From an odd number to an even one only on the way of a replacement: a learner has become the
     // additional voter, and the next change removes another.
     const bool even = wanted.voters.size() % 2 == 0;
-    if (even && added.empty())
+    if (even && added.empty() && !quorum.settings.selfManaged)
         return refuse(reason,
                       "an even number of voters tolerates no more failures than one fewer, and "
                       "needs one more for a quorum; add a replacement before you remove a voter");
@@ -108,4 +109,77 @@
     return actions;
 }
 
+// [SECTION] Self-managed groups
+
+namespace {
+
+// Ids are an address, a slash, and what tells one disk at that address from the next.
+std::string addressOf(const std::string &id)
+{
+    return id.substr(0, id.find('/'));
+}
+
+bool isReplaced(const std::string &id, const std::vector<Candidate> &candidates)
+{
+    return std::any_of(candidates.begin(), candidates.end(), [&](const Candidate &candidate) {
+        return candidate.address == addressOf(id) && candidate.id != id;
+    });
+}
+
+bool isSilent(const QuorumState &quorum, const std::string &id, Time now)
+{
+    const auto peer = quorum.peers.find(id);
+    return peer != quorum.peers.end() && peer->second.heardAt != Time {}
+    && now > peer->second.heardAt + quorum.settings.forgetVoterAfter;
+}
+
+bool isCandidate(const std::string &id, const std::vector<Candidate> &candidates)
+{
+    return std::any_of(candidates.begin(), candidates.end(),
+                       [&](const Candidate &candidate) { return candidate.id == id; });
+}
+
+void drop(std::vector<std::string> &list, const std::string &id)
+{
+    list.erase(std::remove(list.begin(), list.end(), id), list.end());
+}
+
+} // namespace
+
+std::optional<Members> adviseMembers(const QuorumState &quorum,
+                                     const std::vector<Candidate> &candidates, Time now)
+{
+    const bool mayChangeNow = quorum.role == Role::Leader && quorum.membersIndex <= quorum.commit
+            && quorum.commit >= quorum.termStart;
+    if (!mayChangeNow)
+        return std::nullopt;
+    Members members = quorum.members;
+    const std::size_t count = members.voters.size();
+    for (const std::string &id : members.voters) {
+        const bool spare = count > quorum.settings.leastVoters && isSilent(quorum, id, now);
+        if (id == quorum.settings.self || (!isReplaced(id, candidates) && !spare))
+            continue;
+        Members fewer = members;
+        drop(fewer.voters, id);
+        return fewer;
+    }
+    for (const std::string &id : members.learners) {
+        Members changed = members;
+        drop(changed.learners, id);
+        if (isReplaced(id, candidates) || isSilent(quorum, id, now))
+            return changed;
+        changed.voters.push_back(id);
+        if (caughtUp(quorum, id) && isCandidate(id, candidates)
+            && count < quorum.settings.mostVoters)
+            return changed;
+    }
+    for (const Candidate &candidate : candidates) {
+        if (contains(members.voters, candidate.id) || contains(members.learners, candidate.id))
+            continue;
+        members.learners.push_back(candidate.id);
+        return members;
+    }
+    return std::nullopt;
+}
+
 } // namespace foxwing::quorum
--- /dev/null
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -0,0 +1,351 @@
+/*
+    The agent's decisions: what runs on its endpoint, for whom, and until when.
+
+    The endpoint runs whatever it is told while its lease lasts; it does not keep its own room. So
+    the runner is the last guard: it starts only what fits, renews the lease, learns of ends by a
+    long call to the endpoint, and stops what belongs to an entry that it no longer hears.
+
+    Orders to the endpoint may stay unanswered and be carried out seconds later. A run counts as
+    taking its room until its end was listed, or until it certainly can't begin any more: a stop for
+    it was answered and a later look does not show it, the endpoint has another life, or the lease
+   is over on the slowest clock.
+
+        RunnerState runner = makeRunner(settings, fence);
+        RunnerActions actions = endpointHeard(runner, report, now);
+        ... carry out actions ...
+        actions = startAnswered(runner, id, answered, now);
+
+    [SECTION] Settings
+    [SECTION] Orders
+    [SECTION] Answers
+    [SECTION] State
+    [SECTION] Functions
+*/
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <foxwing/eventlog/eventlog.h>
+#include <foxwing/jobs/messages.h>
+
+namespace foxwing::runner {
+
+// [SECTION] Settings
+
+struct RunnerSettings
+{
+    // Runs of an entry that was not heard for this long are stopped. With the endpoint lease and
+    // the time that a stop takes it must stay under the shortest time after which a caller that
+    // lost its entry may send the same job again (1.3 s).
+    Milliseconds ownerSilence { 450 };
+
+    // How long the endpoint goes on without a word from here; renewed by every look. Long enough
+    // for an agent that gets no processor for half a second, see ownerSilence for the upper bound.
+    Milliseconds leaseSpan { 650 };
+
+    // How long a look waits at the endpoint for an end. While something runs it also brings the
+    // progress of each run, which is wanted within the time that the shortest tasks can spare.
+    Milliseconds busyWait { 60 };
+
+    // The same while nothing runs; a start that comes meanwhile lives on its own lease until the
+    // look returns, so well under leaseSpan.
+    Milliseconds idleWait { 200 };
+
+    // Between looks after one that failed.
+    Milliseconds lookPause { 40 };
+
+    // A stop that was not answered, or not followed by an end, is sent again. The endpoint takes
+    // up to 50 ms to stop.
+    Milliseconds stopRepeat { 70 };
+
+    // When a run can't be stopped for this long, the lease of the whole endpoint is left to end.
+    Milliseconds stopGivenUp { 350 };
+
+    // Entries learn of changed room at least this often, if they are not told at once.
+    Milliseconds roomInterval { 100 };
+
+    // A run is judged once it ran for this long: twice the time in which an answer can be late on
+    // a busy host.
+    Milliseconds judgeAfter { 40 };
+
+    // It is behind if it will take more than this many times its estimate, in percent. Estimates
+    // are off by 40 percent and endpoints differ in speed by 25.
+    std::uint32_t behindPercent { 250 };
+
+    // A run that shows no progress for this long stands still, for estimates up to 1 s; a tenth of
+    // the estimate is added.
+    Milliseconds stillAfter { 45 };
+    Milliseconds lagRepeat { 150 };
+
+    // Each failure or lag takes an endpoint this much nearer to being on trial, each run that ends
+    // on pace takes it back. On trial it gets one run at a time, and rests after a bad one.
+    double badStep = 0.25;
+    double goodFactor = 0.7;
+    double trialAbove = 0.7;
+    Milliseconds trialRest { 400 };
+};
+
+// [SECTION] Orders
+
+struct StartOrder
+{
+    jobs::RunId id;
+    std::string payload;
+
+    // On the endpoint's clock: it does not begin the run later, and the lease lasts until then.
+    Milliseconds deadline { 0 };
+    std::uint64_t fence = 0;
+    std::string life;
+};
+
+struct StopOrder
+{
+    jobs::RunId id;
+    std::uint64_t fence = 0;
+    std::string life;
+};
+
+// Renews the lease, takes note of ends, and waits for the next.
+struct LookOrder
+{
+    std::uint64_t number = 0;
+
+    // On the endpoint's clock; left out, the lease is not renewed.
+    std::optional<Milliseconds> deadline;
+    std::uint64_t fence = 0;
+    std::uint64_t lastSeen = 0;
+    Milliseconds wait { 0 };
+    std::string life;
+};
+
+// [SECTION] Answers
+
+enum class Answer {
+    Ok,
+
+    // Another agent, or an earlier life of this one, used a higher fence.
+    Fenced,
+    OldRun,
+    TooLate,
+    NoRoom,
+    OtherLife,
+
+    // The endpoint turned it down and did nothing.
+    Busy,
+    Invalid,
+
+    // Nothing listens at the endpoint's address.
+    Unreachable,
+
+    // Nothing came back: it may have been done, or may be done later.
+    None,
+};
+
+const char *toString(Answer answer);
+
+struct Answered
+{
+    Answer answer = Answer::None;
+    std::optional<Milliseconds> endpointClock;
+};
+
+struct RunningRow
+{
+    jobs::RunId id;
+    std::uint32_t percent = 0;
+};
+
+struct EndedRow
+{
+    std::uint64_t number = 0;
+    jobs::RunId id;
+    jobs::RunEnd end = jobs::RunEnd::Done;
+};
+
+struct Look
+{
+    Answered answered;
+    std::vector<RunningRow> running;
+    std::vector<EndedRow> ended;
+};
+
+// What the endpoint says of itself in a heartbeat.
+struct EndpointReport
+{
+    std::string life;
+    std::string service;
+    std::string dataCentre;
+    std::vector<std::string> labels;
+    jobs::Room capacity;
+    bool leaving = false;
+
+    // Least time until it is gone, while leaving
+    Milliseconds remaining { 0 };
+    std::uint64_t sequence = 0;
+    std::optional<Milliseconds> clock;
+};
+
+// [SECTION] State
+
+enum class RunState {
+    // A start was ordered and not answered yet.
+    Ordered,
+    Running,
+    Stopping,
+};
+
+struct Run
+{
+    std::uint64_t session = 0;
+    jobs::Room room;
+    Milliseconds estimate { 0 };
+    RunState state = RunState::Ordered;
+    Time orderedAt {};
+    Time startedAt {};
+
+    // Whether the endpoint has confirmed or listed it.
+    bool seen = false;
+
+    // Stopping
+    Time stopSince {};
+    Time stopOrderedAt {};
+    bool stopUnderWay = false;
+
+    // The first look ordered after a stop was answered; 0 before
+    std::uint64_t goneIfMissingIn = 0;
+
+    std::uint32_t percent = 0;
+    Time progressAt {};
+    Time lagToldAt {};
+    bool lagged = false;
+};
+
+// One entry's connection.
+struct Session
+{
+    std::string owner;
+    Time heardAt {};
+    bool welcomed = false;
+
+    // Ended: its runs are being stopped.
+    bool over = false;
+    std::uint64_t beat = 0;
+    std::uint64_t startsTaken = 0;
+    std::uint64_t toldBeat = 0;
+    bool refusedRoom = false;
+    bool dirty = false;
+    Time toldAt {};
+    jobs::Room toldFree;
+    std::uint32_t toldMostStarts = 0;
+    bool toldLeaving = false;
+    std::uint64_t toldView = 0;
+    std::vector<jobs::RunReport> ended;
+    std::vector<jobs::LagReport> lagging;
+};
+
+struct RunnerState
+{
+    RunnerSettings settings;
+    std::uint64_t incarnation = 0;
+    std::uint64_t fence = 0;
+
+    // Fence refusals in a row; the next fence is raised by more each time.
+    std::uint32_t fencedOff = 0;
+
+    // The endpoint; without a life nothing is known of it.
+    EndpointReport endpoint;
+    std::uint64_t viewNumber = 1;
+    bool stopping = false;
+
+    // Nothing runs that this agent did not start: earlier lives' runs are stopped first.
+    bool clean = false;
+    std::set<jobs::RunId> orphans;
+
+    // The endpoint's clock when it was last told, and when that was here
+    std::optional<Milliseconds> clockSample;
+    Time clockAt {};
+
+    // The latest time that any order may have prolonged the lease to, on the endpoint's clock
+    Milliseconds leaseUntil { 0 };
+
+    std::map<jobs::RunId, Run> runs;
+    std::map<std::uint64_t, Session> sessions;
+
+    // Looks
+    std::uint64_t lookNumber = 0;
+    std::uint64_t lookAnswered = 0;
+    bool lookUnderWay = false;
+    Time nextLook {};
+    std::uint64_t lastSeen = 0;
+    std::uint32_t looksFailed = 0;
+
+    // Judgement of the endpoint
+    double bad = 0;
+    Time badAt {};
+    double pace = 1.0;
+
+    // Counters for the metrics
+    std::uint64_t started = 0;
+    std::uint64_t done = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t stopped = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unanswered = 0;
+};
+
+struct RunnerActions
+{
+    std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
+    std::optional<LookOrder> look;
+    std::vector<std::pair<std::uint64_t, jobs::Welcome>> welcomes;
+    std::vector<std::pair<std::uint64_t, jobs::AgentUpdate>> updates;
+
+    // Sessions whose connection is to be closed.
+    std::vector<std::uint64_t> closes;
+    std::vector<eventlog::Event> events;
+};
+
+// [SECTION] Functions
+
+// The fence must be above those of this agent's earlier lives, as far as can be known; where it is
+// not, the endpoint refuses it and it is raised.
+RunnerState makeRunner(const RunnerSettings &settings, std::uint64_t incarnation,
+                       std::uint64_t fence);
+
+// The endpoint's heartbeat, or its word that it ends.
+RunnerActions endpointHeard(RunnerState &runner, const EndpointReport &report, Time now);
+RunnerActions endpointLeft(RunnerState &runner, const std::string &life, Time now);
+
+// An entry's session. Numbers are never used twice.
+RunnerActions openSession(RunnerState &runner, std::uint64_t session, const std::string &owner,
+                          Time now);
+RunnerActions closeSession(RunnerState &runner, std::uint64_t session, Time now);
+RunnerActions startTasks(RunnerState &runner, std::uint64_t session,
+                         const jobs::StartTasks &message, Time now);
+RunnerActions stopRuns(RunnerState &runner, std::uint64_t session, const jobs::StopRuns &message,
+                       Time now);
+RunnerActions sessionBeat(RunnerState &runner, std::uint64_t session, std::uint64_t beat, Time now);
+
+// Answers of the endpoint. Each order is answered exactly once, if only by None.
+RunnerActions startAnswered(RunnerState &runner, const jobs::RunId &id, const Answered &answered,
+                            Time now);
+RunnerActions stopAnswered(RunnerState &runner, const jobs::RunId &id, const Answered &answered,
+                           Time now);
+RunnerActions lookAnswered(RunnerState &runner, std::uint64_t number, const Look &look, Time now);
+
+RunnerActions tick(RunnerState &runner, Time now);
+
+// A planned stop: nothing new is taken. Done once finished() holds.
+RunnerActions beginStop(RunnerState &runner, Time now);
+RunnerActions stopAll(RunnerState &runner, Time now);
+bool finished(const RunnerState &runner);
+
+// What an entry may count on.
+jobs::EndpointView viewOf(const RunnerState &runner, Time now);
+
+} // namespace foxwing::runner
--- /dev/null
+++ b/packages/runner/src/internal.h
@@ -0,0 +1,52 @@
+/*
+    Inside the runner: what its files share.
+
+    [SECTION] Offer
+    [SECTION] Runs
+    [SECTION] Judgement
+*/
+#pragma once
+
+#include <foxwing/runner/runner.h>
+
+namespace foxwing::runner {
+
+// [SECTION] Offer
+
+// Room that is free for new runs; zero while nothing may start.
+jobs::Room freeRoom(const RunnerState &runner);
+std::uint32_t mostStarts(const RunnerState &runner, Time now);
+bool onTrial(const RunnerState &runner);
+
+// Puts what changed into messages for the entries, and orders the next look if one is due. The
+// last step of every event.
+void finishEvent(RunnerState &runner, Time now, RunnerActions &actions);
+
+// [SECTION] Runs
+
+// The run is over: its room is free and its entry is told.
+void endRun(RunnerState &runner, const jobs::RunId &id, jobs::RunEnd end,
+            jobs::RefusedStart refused, Time now, RunnerActions &actions);
+void beginStopping(RunnerState &runner, const jobs::RunId &id, Run &run, const char *why, Time now,
+                   RunnerActions &actions);
+void orderStop(RunnerState &runner, const jobs::RunId &id, Run &run, Time now,
+               RunnerActions &actions);
+
+// Everything on the endpoint is certainly over.
+void endAll(RunnerState &runner, jobs::RunEnd end, const char *why, Time now,
+            RunnerActions &actions);
+
+// The latest lease may be prolonged to from now; nothing before the endpoint's clock is known, or
+// while the lease is left to end.
+std::optional<Milliseconds> leaseDeadline(const RunnerState &runner, Time now);
+void takeClock(RunnerState &runner, const Answered &answered, Time now);
+void raiseFence(RunnerState &runner, RunnerActions &actions);
+
+// [SECTION] Judgement
+
+void noteGood(RunnerState &runner, const Run &run, Milliseconds took);
+void noteBad(RunnerState &runner, Time now);
+void judgeRun(RunnerState &runner, const jobs::RunId &id, Run &run, std::uint32_t percent, Time now,
+              RunnerActions &actions);
+
+} // namespace foxwing::runner
--- /dev/null
+++ b/packages/runner/tests/runner_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
--- /dev/null
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -0,0 +1,308 @@
+/*
+    The entry's decisions: which task starts where and when, what is tried again, and when a job is
+    refused or given up.
+
+    Every entry sees the room of all endpoints and sends starts to their agents directly; an agent
+    refuses what does not fit, at once. Waiting jobs are ordered by the time at which they must
+    begin to be on time; those that can't be any more come after those that can.
+
+    No two runs of a task overlap: a task is started again only after its last run's end was told,
+    or after the agent it was sent to has certainly stopped it (see certainSilence).
+
+        SchedulerState scheduler = makeScheduler(settings);
+        SchedulerActions actions = submit(scheduler, spec, terms, now, &number);
+        ... send actions.sends to agents, give actions.answers to callers ...
+
+    [SECTION] Settings
+    [SECTION] Jobs
+    [SECTION] Agents
+    [SECTION] State
+    [SECTION] Actions
+    [SECTION] Functions
+*/
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <foxwing/eventlog/eventlog.h>
+#include <foxwing/jobs/messages.h>
+
+namespace foxwing::scheduler {
+
+// [SECTION] Settings
+
+// How the next endpoint for a task is chosen; the first is the one in use, the others are there to
+// be measured against it.
+enum class Placement {
+    // By observed speed and load
+    Fastest,
+    Random,
+    MostRoom,
+};
+
+// Which waiting job goes next.
+enum class Order {
+    // By the latest time to begin, jobs that can't be on time last
+    LatestBegin,
+    FirstCome,
+    Priority,
+};
+
+struct SchedulerSettings
+{
+    std::uint64_t seed = 1;
+    Placement placement = Placement::Fastest;
+    Order order = Order::LatestBegin;
+
+    // A beat goes to an agent that was sent nothing for this long.
+    Milliseconds beatInterval { 100 };
+
+    // An agent that was not heard for this long is given up. Above three beats, and under what an
+    // agent waits for its entry.
+    Milliseconds agentSilence { 400 };
+
+    // After the last word to a lost agent, its runs are certainly over: it stops them when it does
+    // not hear the entry (450 ms), or its endpoint's lease ends (650 ms and 2 percent), and a stop
+    // takes 50 ms.
+    Milliseconds certainSilence { 1200 };
+
+    // Jobs waiting for room are looked through until this many could not be placed.
+    std::size_t mostPassedOver = 16;
+
+    // Up to this many times its objective after it came, a job is still worth finishing.
+    double lateFactor = 3.0;
+
+    // A job whose expected wait is over this many objectives is refused at once.
+    double refuseAbove = 2.0;
+
+    // A run that is behind is moved only if the new one would end in less than this part of what is
+    // left, in percent.
+    std::uint32_t moveBelowPercent = 60;
+
+    // Bounds of what one entry holds.
+    std::size_t mostJobs = 4000;
+    std::uint32_t mostTasksPerJob = 2000;
+};
+
+// [SECTION] Jobs
+
+// What the job's queue promises.
+struct JobTerms
+{
+    std::string queue;
+    std::string service;
+    std::uint32_t priority = 0;
+    std::uint32_t attempts = 1;
+    double stretch = 1.0;
+    Milliseconds targetLatency { 0 };
+
+    // The caller waits until then at the most.
+    Time deadline {};
+};
+
+enum class TaskState {
+    Waiting,
+    Placed,
+
+    // Its agent is lost: waits until the run is certainly over.
+    Uncertain,
+    Done,
+};
+
+struct Task
+{
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    TaskState state = TaskState::Waiting;
+    std::uint32_t run = 0;
+    std::uint32_t failures = 0;
+    std::string agent;
+    Time placedAt {};
+    Time certainAt {};
+    bool stopAsked = false;
+
+    // What one run of it takes: the caller's estimate, or what a run that was behind has shown
+    Milliseconds expected { 0 };
+
+    // Agents whose endpoints failed it or let it stand
+    std::vector<std::string> avoid;
+};
+
+struct Job
+{
+    std::uint64_t number = 0;
+    jobs::JobSpec spec;
+    JobTerms terms;
+    Time arrivedAt {};
+
+    // Estimated: the end of being on time, and the latest begin for that
+    Time objectiveAt {};
+    Time latestBegin {};
+
+    std::vector<Task> tasks;
+    std::vector<std::uint32_t> tasksLeft;
+    std::uint32_t waiting = 0;
+    std::uint32_t outstanding = 0;
+    std::uint32_t done = 0;
+    std::uint32_t runs = 0;
+    Time firstPlacedAt {};
+
+    // A run of it began, or may have.
+    bool mayHaveBegun = false;
+
+    // Answered or abandoned: stays only until its runs are over.
+    bool over = false;
+
+    // A job with the same id whose runs are not over yet
+    std::uint64_t waitsFor = 0;
+    bool late = false;
+};
+
+// [SECTION] Agents
+
+struct Agent
+{
+    jobs::EndpointView endpoint;
+    bool welcomed = false;
+
+    // The last word to it and from it
+    Time sentAt {};
+    Time heardAt {};
+    std::uint64_t beat = 0;
+
+    // Starts sent in this session, and how many of them are in the agent's view of its room
+    std::uint64_t startsSent = 0;
+    std::uint64_t startsTaken = 0;
+    struct Pending
+    {
+        std::uint64_t number = 0;
+        jobs::Room room;
+    };
+    std::vector<Pending> pending;
+};
+
+// [SECTION] State
+
+// Where a waiting job stands; smaller goes first.
+struct QueueKey
+{
+    bool late = false;
+    std::int64_t rank = 0;
+    std::uint64_t number = 0;
+
+    bool operator<(const QueueKey &other) const
+    {
+        return std::tie(late, rank, number) < std::tie(other.late, other.rank, other.number);
+    }
+};
+
+struct SchedulerCounters
+{
+    std::uint64_t submitted = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t timedOut = 0;
+    std::uint64_t abandoned = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t startsRefused = 0;
+    std::uint64_t runsMoved = 0;
+    std::uint64_t runsLost = 0;
+};
+
+struct SchedulerState
+{
+    SchedulerSettings settings;
+    std::mt19937_64 random;
+    std::uint64_t lastNumber = 0;
+    std::map<std::uint64_t, Job> jobs;
+
+    // The newest job of each id
+    std::map<std::string, std::uint64_t> byId;
+    std::set<QueueKey> queue;
+    std::map<std::string, Agent> agents;
+
+    // Entries that share the endpoints, this one included
+    std::uint32_t entries = 1;
+    SchedulerCounters counters;
+};
+
+// [SECTION] Actions
+
+enum class JobOutcome {
+    Completed,
+    Failed,
+
+    // Certainly nothing of it ran and nothing will.
+    NotRun,
+
+    // Given up with work begun; whatever runs is being stopped.
+    TimedOut,
+};
+
+const char *toString(JobOutcome outcome);
+
+struct JobAnswer
+{
+    std::uint64_t number = 0;
+    JobOutcome outcome = JobOutcome::Completed;
+    std::string reason;
+
+    // NotRun: when it makes sense to come back
+    Milliseconds retryAfter { 0 };
+};
+
+struct AgentSend
+{
+    std::string agent;
+    std::variant<jobs::StartTasks, jobs::StopRuns, jobs::SessionBeat> message;
+};
+
+struct SchedulerActions
+{
+    std::vector<AgentSend> sends;
+    std::vector<JobAnswer> answers;
+
+    // Agents whose connection is to be closed without sending what waits in it.
+    std::vector<std::string> closes;
+    std::vector<eventlog::Event> events;
+};
+
+// [SECTION] Functions
+
+SchedulerState makeScheduler(const SchedulerSettings &settings);
+
+// A job, to be answered later by its number. If one with the same id is still at work, joins it
+// and gives its number.
+SchedulerActions submit(SchedulerState &scheduler, const jobs::JobSpec &spec, const JobTerms &terms,
+                        Time now, std::uint64_t *number);
+
+// Nobody waits for the answer any more: its runs are stopped.
+SchedulerActions abandon(SchedulerState &scheduler, std::uint64_t number, Time now);
+
+// A connection to an agent; starts go there only after its welcome.
+SchedulerActions agentConnected(SchedulerState &scheduler, const std::string &agent, Time now);
+SchedulerActions agentWelcomed(SchedulerState &scheduler, const std::string &agent,
+                               const jobs::Welcome &welcome, Time now);
+SchedulerActions agentUpdated(SchedulerState &scheduler, const std::string &agent,
+                              const jobs::AgentUpdate &update, Time now);
+SchedulerActions agentLost(SchedulerState &scheduler, const std::string &agent, Time now);
+
+SchedulerActions tick(SchedulerState &scheduler, Time now);
+
+// After a pause of this process: agents have stopped its runs and callers may have sent their jobs
+// elsewhere, so everything is given up.
+SchedulerActions giveUpAll(SchedulerState &scheduler, const std::string &why, Time now);
+
+// Whether some endpoint of some service could take work.
+bool reachesEndpoints(const SchedulerState &scheduler);
+
+// Jobs that are not answered yet.
+std::size_t openJobs(const SchedulerState &scheduler);
+
+} // namespace foxwing::scheduler
--- /dev/null
+++ b/packages/scheduler/src/ending.cpp
@@ -0,0 +1,271 @@
+/*
+    Ends of runs and of jobs.
+
+    [SECTION] Jobs
+    [SECTION] Tasks
+    [SECTION] Reports
+*/
+#include <algorithm>
+
+#include "internal.h"
+
+namespace foxwing::scheduler {
+
+using eventlog::Event;
+using jobs::RefusedStart;
+using jobs::RunEnd;
+
+// [SECTION] Jobs
+
+namespace {
+
+void countAnswer(SchedulerCounters &counters, JobOutcome outcome)
+{
+    switch (outcome) {
+    case JobOutcome::Completed:
+        ++counters.completed;
+        break;
+    case JobOutcome::Failed:
+        ++counters.failed;
+        break;
+    case JobOutcome::NotRun:
+        ++counters.refused;
+        break;
+    case JobOutcome::TimedOut:
+        ++counters.timedOut;
+        break;
+    }
+}
+
+// One line a job: what it was, how long each part took, and how it ended.
+Event answerEvent(const Job &job, JobOutcome outcome, const std::string &reason, Time now)
+{
+    std::uint32_t failures = 0;
+    for (const Task &task : job.tasks)
+        failures += task.failures;
+    Event event("job-answered");
+    event.with("request", job.spec.id)
+            .with("queue", job.terms.queue)
+            .with("outcome", toString(outcome))
+            .with("tasks", static_cast<std::uint64_t>(job.tasks.size()))
+            .with("done", job.done)
+            .with("runs", job.runs)
+            .with("failures", failures)
+            .with("took_ms", now - job.arrivedAt)
+            .with("objective_ms", job.objectiveAt - job.arrivedAt);
+    if (job.firstPlacedAt != Time {})
+        event.with("waited_ms", job.firstPlacedAt - job.arrivedAt);
+    if (!reason.empty())
+        event.with("reason", reason);
+    return event;
+}
+
+// Time for the room to take what waits now, at least a tenth of a second.
+Milliseconds retryAfter(const SchedulerState &scheduler)
+{
+    constexpr Milliseconds Least { 100 };
+    constexpr Milliseconds Most { 2000 };
+    constexpr Milliseconds PerWaitingJob { 10 };
+    return std::min(Most, Least + PerWaitingJob * static_cast<int>(scheduler.queue.size()));
+}
+
+} // namespace
+
+void answerJob(SchedulerState &scheduler, Job &job, JobOutcome outcome, const std::string &reason,
+               Time now, SchedulerActions &actions)
+{
+    if (job.over)
+        return;
+    dequeue(scheduler, job);
+    job.over = true;
+    countAnswer(scheduler.counters, outcome);
+    JobAnswer answer;
+    answer.number = job.number;
+    answer.outcome = outcome;
+    answer.reason = reason;
+    if (outcome == JobOutcome::NotRun)
+        answer.retryAfter = retryAfter(scheduler);
+    actions.answers.push_back(answer);
+    actions.events.push_back(answerEvent(job, outcome, reason, now));
+    for (Task &task : job.tasks)
+        stopTask(scheduler, job, task, actions);
+    removeIfFinished(scheduler, job.number);
+}
+
+void removeIfFinished(SchedulerState &scheduler, std::uint64_t number)
+{
+    const auto found = scheduler.jobs.find(number);
+    if (found == scheduler.jobs.end() || !found->second.over || found->second.outstanding > 0)
+        return;
+    const std::string id = found->second.spec.id;
+    const auto newest = scheduler.byId.find(id);
+    const bool isNewest = newest != scheduler.byId.end() && newest->second == number;
+    scheduler.jobs.erase(found);
+    if (isNewest)
+        scheduler.byId.erase(newest);
+    for (auto &[other, job] : scheduler.jobs) {
+        if (job.waitsFor != number)
+            continue;
+        job.waitsFor = 0;
+        enqueue(scheduler, job);
+    }
+}
+
+// [SECTION] Tasks
+
+Task *findTask(SchedulerState &scheduler, const jobs::RunId &id, Job **job)
+{
+    // More than one job can have the id only while the older one's runs end; the run then belongs
+    // to the older, since the newer has not begun.
+    const auto newest = scheduler.byId.find(id.task.job);
+    if (newest == scheduler.byId.end())
+        return nullptr;
+    auto found = scheduler.jobs.find(newest->second);
+    while (found != scheduler.jobs.end() && found->second.waitsFor != 0)
+        found = scheduler.jobs.find(found->second.waitsFor);
+    if (found == scheduler.jobs.end())
+        return nullptr;
+    for (Task &task : found->second.tasks) {
+        if (task.step != id.task.step || task.index != id.task.index || task.run != id.run)
+            continue;
+        *job = &found->second;
+        return &task;
+    }
+    return nullptr;
+}
+
+void stopTask(SchedulerState &scheduler, const Job &job, Task &task, SchedulerActions &actions)
+{
+    if (task.state != TaskState::Placed || task.stopAsked)
+        return;
+    task.stopAsked = true;
+    const jobs::RunId id { { job.spec.id, 0, task.step, task.index }, task.run };
+    for (AgentSend &send : actions.sends) {
+        auto *stops = std::get_if<jobs::StopRuns>(&send.message);
+        if (stops && send.agent == task.agent) {
+            stops->runs.push_back(id);
+            return;
+        }
+    }
+    const auto agent = scheduler.agents.find(task.agent);
+    if (agent != scheduler.agents.end())
+        actions.sends.push_back({ task.agent, jobs::StopRuns { { id } } });
+}
+
+void freeTask(SchedulerState &scheduler, Job &job, Task &task)
+{
+    dequeue(scheduler, job);
+    task.state = TaskState::Waiting;
+    task.agent.clear();
+    --job.outstanding;
+    ++job.waiting;
+    enqueue(scheduler, job);
+}
+
+// [SECTION] Reports
+
+namespace {
+
+void taskDone(SchedulerState &scheduler, Job &job, Task &task, Time now, SchedulerActions &actions)
+{
+    task.state = TaskState::Done;
+    --job.outstanding;
+    --job.tasksLeft[task.step];
+    ++job.done;
+    if (job.done == job.tasks.size())
+        answerJob(scheduler, job, JobOutcome::Completed, "", now, actions);
+}
+
+Event taskEvent(const char *name, const Job &job, const Task &task)
+{
+    return Event(name)
+            .with("request", job.spec.id)
+            .with("step", task.step)
+            .with("index", task.index)
+            .with("run", task.run)
+            .with("agent", task.agent);
+}
+
+void taskFailed(SchedulerState &scheduler, Job &job, Task &task, Time now,
+                SchedulerActions &actions)
+{
+    ++task.failures;
+    task.avoid.push_back(task.agent);
+    const std::string agent = task.agent;
+    freeTask(scheduler, job, task);
+    if (task.failures >= job.terms.attempts)
+        answerJob(scheduler, job, JobOutcome::Failed,
+                  "task " + std::to_string(task.step) + "." + std::to_string(task.index)
+                          + " failed " + std::to_string(task.failures) + " times, last at " + agent,
+                  now, actions);
+}
+
+} // namespace
+
+void runEnded(SchedulerState &scheduler, const std::string &agent, const jobs::RunReport &report,
+              Time now, SchedulerActions &actions)
+{
+    Job *job = nullptr;
+    Task *task = findTask(scheduler, report.id, &job);
+    if (!task || task->state != TaskState::Placed || task->agent != agent)
+        return;
+    const std::uint64_t number = job->number;
+    if (report.end == RunEnd::NeverBegan)
+        ++scheduler.counters.startsRefused;
+    else
+        job->mayHaveBegun = true;
+    if (report.end == RunEnd::Done && !job->over) {
+        taskDone(scheduler, *job, *task, now, actions);
+    } else if (report.end == RunEnd::Failed && !job->over) {
+        actions.events.push_back(taskEvent("task-failed", *job, *task).with("ran_ms", report.took));
+        taskFailed(scheduler, *job, *task, now, actions);
+    } else {
+        const bool surprise = !job->over && report.refused != RefusedStart::NoRoom;
+        if (surprise)
+            actions.events.push_back(taskEvent("task-again", *job, *task)
+                                             .with("end", jobs::toString(report.end))
+                                             .with("refused", jobs::toString(report.refused))
+                                             .with("since_placed_ms", now - task->placedAt));
+        if (surprise && report.end != RunEnd::Stopped)
+            task->avoid.push_back(agent);
+        freeTask(scheduler, *job, *task);
+    }
+    removeIfFinished(scheduler, number);
+}
+
+void runLags(SchedulerState &scheduler, const std::string &agent, const jobs::LagReport &report,
+             Time now, SchedulerActions &actions)
+{
+    Job *job = nullptr;
+    Task *task = findTask(scheduler, report.id, &job);
+    if (!task || task->state != TaskState::Placed || task->agent != agent || job->over
+        || task->stopAsked)
+        return;
+    const jobs::StepSpec &step = job->spec.steps[task->step];
+    const Milliseconds fresh = task->expected;
+    const bool quicker = report.standsStill
+            || fresh < report.left * static_cast<int>(scheduler.settings.moveBelowPercent) / 100;
+    const bool hasRoom = std::any_of(scheduler.agents.begin(), scheduler.agents.end(),
+                                     [&](const auto &other) {
+                                         return other.first != agent && other.second.welcomed
+                                                 && suits(other.second, *job, step)
+                                                 && jobs::fits(step.room, roomAt(other.second));
+                                     });
+    if (!quicker || (!hasRoom && !report.standsStill))
+        return;
+    actions.events.push_back(taskEvent("task-moved", *job, *task)
+                                     .with("left_ms", report.left)
+                                     .with("fresh_ms", fresh)
+                                     .with("stands_still", report.standsStill ? 1 : 0)
+                                     .with("since_placed_ms", now - task->placedAt));
+    ++scheduler.counters.runsMoved;
+    // It may be the estimate that is wrong: the next run is measured against what this one showed.
+    if (!report.standsStill)
+        task->expected = std::max(task->expected,
+                                  std::chrono::duration_cast<Milliseconds>(now - task->placedAt)
+                                          + report.left);
+    task->avoid.push_back(agent);
+    stopTask(scheduler, *job, *task, actions);
+}
+
+} // namespace foxwing::scheduler
--- /dev/null
+++ b/packages/scheduler/src/internal.h
@@ -0,0 +1,42 @@
+/*
+    Inside the scheduler: what its files share.
+
+    [SECTION] Placing
+    [SECTION] Ending
+*/
+#pragma once
+
+#include <foxwing/scheduler/scheduler.h>
+
+namespace foxwing::scheduler {
+
+// [SECTION] Placing
+
+// Starts what can start now.
+void place(SchedulerState &scheduler, Time now, SchedulerActions &actions);
+QueueKey keyOf(const SchedulerState &scheduler, const Job &job);
+void enqueue(SchedulerState &scheduler, Job &job);
+void dequeue(SchedulerState &scheduler, const Job &job);
+
+// Room that this entry may count on at an agent.
+jobs::Room roomAt(const Agent &agent);
+
+// Whether the endpoint may run the step at all, whatever runs on it now.
+bool suits(const Agent &agent, const Job &job, const jobs::StepSpec &step);
+
+// [SECTION] Ending
+
+void answerJob(SchedulerState &scheduler, Job &job, JobOutcome outcome, const std::string &reason,
+               Time now, SchedulerActions &actions);
+void runEnded(SchedulerState &scheduler, const std::string &agent, const jobs::RunReport &report,
+              Time now, SchedulerActions &actions);
+void runLags(SchedulerState &scheduler, const std::string &agent, const jobs::LagReport &report,
+             Time now, SchedulerActions &actions);
+
+// The task's run is certainly over without a result: it may be started again.
+void freeTask(SchedulerState &scheduler, Job &job, Task &task);
+void removeIfFinished(SchedulerState &scheduler, std::uint64_t number);
+void stopTask(SchedulerState &scheduler, const Job &job, Task &task, SchedulerActions &actions);
+Task *findTask(SchedulerState &scheduler, const jobs::RunId &id, Job **job);
+
+} // namespace foxwing::scheduler
--- /dev/null
+++ b/packages/scheduler/src/placing.cpp
@@ -0,0 +1,257 @@
+/*
+    Which waiting task starts next, and where.
+
+    [SECTION] Order
+    [SECTION] Endpoints
+    [SECTION] Placing
+*/
+#include <algorithm>
+#include <limits>
+
+#include "internal.h"
+
+namespace foxwing::scheduler {
+
+// [SECTION] Order
+
+QueueKey keyOf(const SchedulerState &scheduler, const Job &job)
+{
+    QueueKey key;
+    key.number = job.number;
+    const auto arrived = job.arrivedAt.time_since_epoch().count();
+    switch (scheduler.settings.order) {
+    case Order::FirstCome:
+        key.rank = arrived;
+        break;
+    case Order::Priority:
+        key.rank = job.terms.priority;
+        break;
+    case Order::LatestBegin:
+        key.late = job.late;
+        // Of those that are late, the ones that have begun first, then the newest: the oldest
+        // are the next to be worth nothing.
+        key.rank = !job.late
+                ? job.latestBegin.time_since_epoch().count()
+                : (job.runs > 0 ? std::numeric_limits<std::int64_t>::min() / 2 : 0) - arrived;
+        break;
+    }
+    return key;
+}
+
+void enqueue(SchedulerState &scheduler, Job &job)
+{
+    if (!job.over && job.waiting > 0 && job.waitsFor == 0)
+        scheduler.queue.insert(keyOf(scheduler, job));
+}
+
+void dequeue(SchedulerState &scheduler, const Job &job)
+{
+    scheduler.queue.erase(keyOf(scheduler, job));
+}
+
+// [SECTION] Endpoints
+
+jobs::Room roomAt(const Agent &agent)
+{
+    jobs::Room room = agent.endpoint.free;
+    for (const Agent::Pending &pending : agent.pending)
+        room -= pending.room;
+    return room;
+}
+
+namespace {
+
+bool hasLabel(const Agent &agent, const std::string &label)
+{
+    const std::vector<std::string> &labels = agent.endpoint.labels;
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool isAvoided(const Task &task, const std::string &agent)
+{
+    return std::find(task.avoid.begin(), task.avoid.end(), agent) != task.avoid.end();
+}
+
+bool belowStepLimit(const Job &job, std::uint32_t step, std::uint32_t most,
+                    const std::string &agent)
+{
+    if (most == 0)
+        return true;
+    const auto here = std::count_if(job.tasks.begin(), job.tasks.end(), [&](const Task &task) {
+        return task.step == step && task.agent == agent && task.state != TaskState::Waiting
+                && task.state != TaskState::Done;
+    });
+    return static_cast<std::uint32_t>(here) < most;
+}
+
+// Smaller is better. Speed first; then a little for endpoints that are less full, since work of
+// other entries goes where there is room too; and a little chance, so that entries differ.
+double costOf(SchedulerState &scheduler, const Agent &agent, const jobs::Room &free,
+              const jobs::StepSpec &step)
+{
+    constexpr double LoadWeight = 0.3;
+    constexpr double ChanceWeight = 0.1;
+    // Work away from its data takes at least half as long again.
+    constexpr double FarFactor = 1.5;
+    std::uniform_real_distribution<double> chance(0, 1);
+    if (scheduler.settings.placement == Placement::Random)
+        return chance(scheduler.random);
+    const double capacity = std::max<double>(1,
+                                             static_cast<double>(
+                                                     agent.endpoint.capacity.milliCores));
+    const double load = 1 - static_cast<double>(free.milliCores) / capacity;
+    if (scheduler.settings.placement == Placement::MostRoom)
+        return load;
+    const double pace = static_cast<double>(agent.endpoint.paceMille) / 1000;
+    const double far = hasLabel(agent, step.rack) ? 1 : FarFactor;
+    return pace * far * (1 + LoadWeight * load) + ChanceWeight * chance(scheduler.random);
+}
+
+bool mayTake(const Agent &agent)
+{
+    return agent.welcomed && !agent.endpoint.leaving
+            && agent.pending.size() < agent.endpoint.mostStarts;
+}
+
+Agent *chooseAgent(SchedulerState &scheduler, const Job &job, const Task &task, std::string *name)
+{
+    const jobs::StepSpec &step = job.spec.steps[task.step];
+    Agent *best = nullptr;
+    double bestCost = 0;
+    bool bestAvoided = false;
+    for (auto &[id, agent] : scheduler.agents) {
+        const jobs::Room free = roomAt(agent);
+        if (!mayTake(agent) || !jobs::fits(step.room, free) || !suits(agent, job, step)
+            || !belowStepLimit(job, task.step, step.mostPerEndpoint, id))
+            continue;
+        const bool avoided = isAvoided(task, id);
+        const double cost = costOf(scheduler, agent, free, step);
+        if (best && (avoided > bestAvoided || (avoided == bestAvoided && cost >= bestCost)))
+            continue;
+        best = &agent;
+        bestCost = cost;
+        bestAvoided = avoided;
+        *name = id;
+    }
+    return best;
+}
+
+} // namespace
+
+bool suits(const Agent &agent, const Job &job, const jobs::StepSpec &step)
+{
+    return agent.endpoint.service == job.terms.service && hasLabel(agent, step.label)
+            && jobs::fits(step.room, agent.endpoint.capacity);
+}
+
+// [SECTION] Placing
+
+namespace {
+
+bool stepIsReady(const Job &job, std::uint32_t step)
+{
+    const std::vector<std::uint32_t> &after = job.spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(),
+                       [&](std::uint32_t earlier) { return job.tasksLeft[earlier] == 0; });
+}
+
+jobs::StartTasks &messageFor(std::vector<std::pair<std::string, jobs::StartTasks>> &messages,
+                             const std::string &agent, const Job &job, const Task &task)
+{
+    for (auto &[to, message] : messages) {
+        if (to == agent && message.step == task.step && message.estimate == task.expected)
+            return message;
+    }
+    const jobs::StepSpec &spec = job.spec.steps[task.step];
+    jobs::StartTasks message;
+    message.job = job.spec.id;
+    message.step = task.step;
+    message.payload = job.spec.payload;
+    message.room = spec.room;
+    message.estimate = task.expected;
+    messages.emplace_back(agent, std::move(message));
+    return messages.back().second;
+}
+
+// Starts as many of the job's tasks as find room; true if none is left waiting.
+bool placeJob(SchedulerState &scheduler, Job &job, Time now, SchedulerActions &actions)
+{
+    std::vector<std::pair<std::string, jobs::StartTasks>> messages;
+    bool all = true;
+    for (Task &task : job.tasks) {
+        if (task.state != TaskState::Waiting || !stepIsReady(job, task.step))
+            continue;
+        std::string name;
+        Agent *agent = chooseAgent(scheduler, job, task, &name);
+        if (!agent) {
+            all = false;
+            break;
+        }
+        task.state = TaskState::Placed;
+        task.agent = name;
+        task.placedAt = now;
+        task.stopAsked = false;
+        ++task.run;
+        --job.waiting;
+        ++job.outstanding;
+        ++job.runs;
+        ++scheduler.counters.starts;
+        agent->pending.push_back({ ++agent->startsSent, job.spec.steps[task.step].room });
+        agent->sentAt = now;
+        messageFor(messages, name, job, task).starts.push_back({ task.index, task.run });
+    }
+    if (!messages.empty() && job.firstPlacedAt == Time {})
+        job.firstPlacedAt = now;
+    for (auto &[to, message] : messages)
+        actions.sends.push_back({ to, std::move(message) });
+    return all;
+}
+
+bool hasReadyTask(const Job &job)
+{
+    return std::any_of(job.tasks.begin(), job.tasks.end(), [&](const Task &task) {
+        return task.state == TaskState::Waiting && stepIsReady(job, task.step);
+    });
+}
+
+// The keys to be looked at, with those that have become late moved behind the others first.
+std::vector<QueueKey> sortOut(SchedulerState &scheduler, Time now)
+{
+    std::vector<std::uint64_t> late;
+    for (const QueueKey &key : scheduler.queue) {
+        if (key.late || scheduler.settings.order != Order::LatestBegin)
+            break;
+        if (scheduler.jobs.at(key.number).latestBegin >= now)
+            break;
+        late.push_back(key.number);
+    }
+    for (const std::uint64_t number : late) {
+        Job &job = scheduler.jobs.at(number);
+        dequeue(scheduler, job);
+        job.late = true;
+        enqueue(scheduler, job);
+    }
+    return { scheduler.queue.begin(), scheduler.queue.end() };
+}
+
+} // namespace
+
+void place(SchedulerState &scheduler, Time now, SchedulerActions &actions)
+{
+    if (scheduler.queue.empty())
+        return;
+    std::size_t passedOver = 0;
+    for (const QueueKey &key : sortOut(scheduler, now)) {
+        if (passedOver >= scheduler.settings.mostPassedOver)
+            return;
+        Job &job = scheduler.jobs.at(key.number);
+        if (!hasReadyTask(job))
+            continue;
+        dequeue(scheduler, job);
+        if (!placeJob(scheduler, job, now, actions))
+            ++passedOver;
+        enqueue(scheduler, job);
+    }
+}
+
+} // namespace foxwing::scheduler
--- /dev/null
+++ b/packages/scheduler/src/scheduler.cpp
@@ -0,0 +1,418 @@
+/*
+    Events of the scheduler.
+
+    [SECTION] Names
+    [SECTION] Admission
+    [SECTION] Agents
+    [SECTION] Time
+*/
+#include <foxwing/scheduler/scheduler.h>
+
+#include <algorithm>
+
+#include "internal.h"
+
+namespace foxwing::scheduler {
+
+using eventlog::change;
+using eventlog::Event;
+
+// [SECTION] Names
+
+const char *toString(JobOutcome outcome)
+{
+    switch (outcome) {
+    case JobOutcome::Completed:
+        return "completed";
+    case JobOutcome::Failed:
+        return "failed";
+    case JobOutcome::NotRun:
+        return "not-run";
+    case JobOutcome::TimedOut:
+        break;
+    }
+    return "timed-out";
+}
+
+SchedulerState makeScheduler(const SchedulerSettings &settings)
+{
+    SchedulerState scheduler;
+    scheduler.settings = settings;
+    scheduler.random.seed(settings.seed);
+    return scheduler;
+}
+
+// [SECTION] Admission
+
+namespace {
+
+// The longest chain of estimates through the steps.
+Milliseconds chainOf(const jobs::JobSpec &spec)
+{
+    std::vector<Milliseconds> until(spec.steps.size(), Milliseconds(0));
+    Milliseconds longest { 0 };
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        for (const std::uint32_t earlier : spec.steps[step].after)
+            until[step] = std::max(until[step], until[earlier]);
+        until[step] += spec.steps[step].estimate;
+        longest = std::max(longest, until[step]);
+    }
+    return longest;
+}
+
+Microseconds scaled(Milliseconds span, double factor)
+{
+    return std::chrono::duration_cast<Microseconds>(
+            std::chrono::duration<double, std::milli>(static_cast<double>(span.count()) * factor));
+}
+
+Job makeJob(const jobs::JobSpec &spec, const JobTerms &terms, Time now)
+{
+    Job job;
+    job.spec = spec;
+    job.terms = terms;
+    job.arrivedAt = now;
+    const Milliseconds chain = chainOf(spec);
+    job.objectiveAt = now + scaled(chain, terms.stretch) + terms.targetLatency;
+    job.latestBegin = job.objectiveAt - chain;
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+        job.tasksLeft.push_back(spec.steps[step].tasks);
+        for (std::uint32_t index = 0; index < spec.steps[step].tasks; ++index) {
+            Task task;
+            task.step = step;
+            task.index = index;
+            task.expected = spec.steps[step].estimate;
+            job.tasks.push_back(task);
+        }
+    }
+    job.waiting = static_cast<std::uint32_t>(job.tasks.size());
+    return job;
+}
+
+// Work that waits here and would go first, against the part of all room that this entry can count
+// on.
+Microseconds expectedWait(const SchedulerState &scheduler, const Job &wanted)
+{
+    double waiting = 0;
+    for (const QueueKey &key : scheduler.queue) {
+        const Job &job = scheduler.jobs.at(key.number);
+        if (key.late || job.latestBegin > wanted.latestBegin
+            || job.terms.service != wanted.terms.service)
+            continue;
+        const jobs::StepSpec &step = job.spec.steps.front();
+        waiting += static_cast<double>(job.waiting) * static_cast<double>(step.room.milliCores)
+                * static_cast<double>(step.estimate.count());
+    }
+    double room = 0;
+    for (const auto &[name, agent] : scheduler.agents) {
+        if (agent.welcomed && agent.endpoint.service == wanted.terms.service
+            && agent.endpoint.mostStarts > 0)
+            room += static_cast<double>(agent.endpoint.capacity.milliCores);
+    }
+    if (room <= 0)
+        return Microseconds(0);
+    return scaled(Milliseconds(1), waiting * scheduler.entries / room);
+}
+
+bool anySuits(const SchedulerState &scheduler, const Job &job, const jobs::StepSpec &step)
+{
+    bool any = false;
+    for (const auto &[name, agent] : scheduler.agents) {
+        if (!agent.welcomed || agent.endpoint.service != job.terms.service)
+            continue;
+        any = true;
+        if (suits(agent, job, step))
+            return true;
+    }
+    // Without a single endpoint of the service nothing is known of what would fit.
+    return !any;
+}
+
+// Why a job is not taken; empty if it is.
+std::string refusal(const SchedulerState &scheduler, const Job &job)
+{
+    if (scheduler.jobs.size() >= scheduler.settings.mostJobs)
+        return "this entry holds as many jobs as it may";
+    const jobs::JobTraits &traits = job.spec.traits;
+    if (traits.kept || traits.gang || traits.lasting || traits.timed)
+        return "this kind of job is not served yet";
+    if (job.tasks.empty() || job.tasks.size() > scheduler.settings.mostTasksPerJob)
+        return "a job needs at least one task, and at most the number in the settings";
+    const Microseconds wait = expectedWait(scheduler, job);
+    const Microseconds objective = job.objectiveAt - job.arrivedAt;
+    if (wait > scaled(std::chrono::duration_cast<Milliseconds>(objective),
+                      scheduler.settings.refuseAbove))
+        return "the work before it takes longer than it may wait";
+    return "";
+}
+
+void refuse(SchedulerState &scheduler, Job &job, JobOutcome outcome, const std::string &why,
+            Time now, SchedulerActions &actions)
+{
+    // A job that never was in the table is answered through it, so that all answers are alike.
+    const std::uint64_t number = job.number;
+    Job &kept = scheduler.jobs.emplace(number, std::move(job)).first->second;
+    answerJob(scheduler, kept, outcome, why, now, actions);
+}
+
+} // namespace
+
+SchedulerActions submit(SchedulerState &scheduler, const jobs::JobSpec &spec, const JobTerms &terms,
+                        Time now, std::uint64_t *number)
+{
+    SchedulerActions actions;
+    const auto known = scheduler.byId.find(spec.id);
+    if (known != scheduler.byId.end() && !scheduler.jobs.at(known->second).over) {
+        *number = known->second;
+        actions.events.push_back(Event("job-joined").with("request", spec.id));
+        return actions;
+    }
+    ++scheduler.counters.submitted;
+    Job job = makeJob(spec, terms, now);
+    job.number = ++scheduler.lastNumber;
+    *number = job.number;
+    const std::string why = refusal(scheduler, job);
+    if (!why.empty()) {
+        refuse(scheduler, job, JobOutcome::NotRun, why, now, actions);
+        return actions;
+    }
+    const bool possible = std::all_of(spec.steps.begin(), spec.steps.end(), [&](const auto &step) {
+        return anySuits(scheduler, job, step);
+    });
+    if (!possible) {
+        refuse(scheduler, job, JobOutcome::Failed, "no endpoint of its service could ever run it",
+               now, actions);
+        return actions;
+    }
+    job.waitsFor = known == scheduler.byId.end() ? 0 : known->second;
+    scheduler.byId[spec.id] = job.number;
+    Job &kept = scheduler.jobs.emplace(job.number, std::move(job)).first->second;
+    enqueue(scheduler, kept);
+    place(scheduler, now, actions);
+    return actions;
+}
+
+SchedulerActions abandon(SchedulerState &scheduler, std::uint64_t number, Time now)
+{
+    SchedulerActions actions;
+    const auto found = scheduler.jobs.find(number);
+    if (found == scheduler.jobs.end() || found->second.over)
+        return actions;
+    Job &job = found->second;
+    dequeue(scheduler, job);
+    job.over = true;
+    ++scheduler.counters.abandoned;
+    actions.events.push_back(Event("job-abandoned")
+                                     .with("request", job.spec.id)
+                                     .with("done", job.done)
+                                     .with("outstanding", job.outstanding)
+                                     .with("took_ms", now - job.arrivedAt));
+    for (Task &task : job.tasks)
+        stopTask(scheduler, job, task, actions);
+    removeIfFinished(scheduler, number);
+    return actions;
+}
+
+// [SECTION] Agents
+
+SchedulerActions agentConnected(SchedulerState &scheduler, const std::string &agent, Time now)
+{
+    SchedulerActions actions;
+    Agent fresh;
+    fresh.sentAt = now;
+    fresh.heardAt = now;
+    scheduler.agents[agent] = fresh;
+    return actions;
+}
+
+SchedulerActions agentWelcomed(SchedulerState &scheduler, const std::string &name,
+                               const jobs::Welcome &welcome, Time now)
+{
+    SchedulerActions actions;
+    Agent &agent = scheduler.agents[name];
+    agent.endpoint = welcome.endpoint;
+    agent.welcomed = true;
+    agent.heardAt = now;
+    actions.events.push_back(change("agent-welcomed")
+                                     .with("agent", name)
+                                     .with("incarnation", welcome.incarnation)
+                                     .with("life", welcome.endpoint.life));
+    // Nothing of an earlier session runs there any more.
+    for (auto &[number, job] : scheduler.jobs) {
+        for (Task &task : job.tasks) {
+            if (task.state == TaskState::Uncertain && task.agent == name)
+                freeTask(scheduler, job, task);
+        }
+    }
+    for (auto item = scheduler.jobs.begin(); item != scheduler.jobs.end();) {
+        const std::uint64_t number = item->first;
+        ++item;
+        removeIfFinished(scheduler, number);
+    }
+    place(scheduler, now, actions);
+    return actions;
+}
+
+SchedulerActions agentUpdated(SchedulerState &scheduler, const std::string &name,
+                              const jobs::AgentUpdate &update, Time now)
+{
+    SchedulerActions actions;
+    const auto found = scheduler.agents.find(name);
+    if (found == scheduler.agents.end() || !found->second.welcomed)
+        return actions;
+    Agent &agent = found->second;
+    agent.heardAt = now;
+    if (!update.endpoint.empty())
+        agent.endpoint = update.endpoint.front();
+    agent.endpoint.free = update.free;
+    agent.endpoint.mostStarts = update.mostStarts;
+    agent.endpoint.paceMille = update.paceMille;
+    agent.endpoint.leaving = update.leaving;
+    agent.startsTaken = std::max(agent.startsTaken, update.startsTaken);
+    const auto taken = [&](const Agent::Pending &pending) {
+        return pending.number <= agent.startsTaken;
+    };
+    agent.pending.erase(std::remove_if(agent.pending.begin(), agent.pending.end(), taken),
+                        agent.pending.end());
+    for (const jobs::RunReport &report : update.ended)
+        runEnded(scheduler, name, report, now, actions);
+    for (const jobs::LagReport &report : update.lagging)
+        runLags(scheduler, name, report, now, actions);
+    place(scheduler, now, actions);
+    return actions;
+}
+
+SchedulerActions agentLost(SchedulerState &scheduler, const std::string &name, Time now)
+{
+    SchedulerActions actions;
+    const auto found = scheduler.agents.find(name);
+    if (found == scheduler.agents.end())
+        return actions;
+    const Time certainAt = found->second.sentAt + scheduler.settings.certainSilence;
+    std::uint64_t runs = 0;
+    for (auto &[number, job] : scheduler.jobs) {
+        for (Task &task : job.tasks) {
+            if (task.state != TaskState::Placed || task.agent != name)
+                continue;
+            task.state = TaskState::Uncertain;
+            task.certainAt = certainAt;
+            ++runs;
+        }
+    }
+    scheduler.counters.runsLost += runs;
+    actions.events.push_back(change("agent-lost")
+                                     .with("agent", name)
+                                     .with("heard_ms_ago", now - found->second.heardAt)
+                                     .with("runs_uncertain", runs));
+    scheduler.agents.erase(found);
+    return actions;
+}
+
+// [SECTION] Time
+
+namespace {
+
+void beatAgents(SchedulerState &scheduler, Time now, SchedulerActions &actions)
+{
+    for (auto &[name, agent] : scheduler.agents) {
+        if (now >= agent.heardAt + scheduler.settings.agentSilence && agent.welcomed) {
+            actions.closes.push_back(name);
+            continue;
+        }
+        if (now < agent.sentAt + scheduler.settings.beatInterval)
+            continue;
+        agent.sentAt = now;
+        actions.sends.push_back({ name, jobs::SessionBeat { ++agent.beat } });
+    }
+}
+
+void freeCertain(SchedulerState &scheduler, Time now)
+{
+    std::vector<std::uint64_t> touched;
+    for (auto &[number, job] : scheduler.jobs) {
+        if (job.outstanding == 0)
+            continue;
+        for (Task &task : job.tasks) {
+            if (task.state != TaskState::Uncertain || now < task.certainAt)
+                continue;
+            job.mayHaveBegun = true;
+            task.avoid.push_back(task.agent);
+            freeTask(scheduler, job, task);
+            touched.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : touched)
+        removeIfFinished(scheduler, number);
+}
+
+// A start that is under way may begin.
+bool certainlyNotBegun(const Job &job)
+{
+    return !job.mayHaveBegun && job.outstanding == 0;
+}
+
+// Jobs that nobody waits for any longer, and those that have not begun and are worth nothing.
+void giveUpLate(SchedulerState &scheduler, Time now, SchedulerActions &actions)
+{
+    std::vector<std::uint64_t> over;
+    for (const auto &[number, job] : scheduler.jobs) {
+        const Microseconds objective = job.objectiveAt - job.arrivedAt;
+        const auto lateSpan = std::chrono::duration_cast<Microseconds>(
+                objective * scheduler.settings.lateFactor);
+        const Microseconds chain = job.objectiveAt - job.latestBegin;
+        const bool hopeless = certainlyNotBegun(job) && now + chain > job.arrivedAt + lateSpan;
+        if (!job.over && (now >= job.terms.deadline || hopeless))
+            over.push_back(number);
+    }
+    for (const std::uint64_t number : over) {
+        Job &job = scheduler.jobs.at(number);
+        const bool notRun = certainlyNotBegun(job);
+        answerJob(scheduler, job, notRun ? JobOutcome::NotRun : JobOutcome::TimedOut,
+                  notRun ? "no room came free in time" : "its time is over", now, actions);
+    }
+}
+
+} // namespace
+
+SchedulerActions tick(SchedulerState &scheduler, Time now)
+{
+    SchedulerActions actions;
+    beatAgents(scheduler, now, actions);
+    freeCertain(scheduler, now);
+    giveUpLate(scheduler, now, actions);
+    place(scheduler, now, actions);
+    return actions;
+}
+
+SchedulerActions giveUpAll(SchedulerState &scheduler, const std::string &why, Time now)
+{
+    SchedulerActions actions;
+    std::vector<std::uint64_t> open;
+    for (const auto &[number, job] : scheduler.jobs) {
+        if (!job.over)
+            open.push_back(number);
+    }
+    for (const std::uint64_t number : open) {
+        Job &job = scheduler.jobs.at(number);
+        answerJob(scheduler, job,
+                  certainlyNotBegun(job) ? JobOutcome::NotRun : JobOutcome::TimedOut, why, now,
+                  actions);
+    }
+    return actions;
+}
+
+bool reachesEndpoints(const SchedulerState &scheduler)
+{
+    return std::any_of(scheduler.agents.begin(), scheduler.agents.end(), [](const auto &item) {
+        return item.second.welcomed && !item.second.endpoint.life.empty();
+    });
+}
+
+std::size_t openJobs(const SchedulerState &scheduler)
+{
+    return static_cast<std::size_t>(
+            std::count_if(scheduler.jobs.begin(), scheduler.jobs.end(),
+                          [](const auto &item) { return !item.second.over; }));
+}
+
+} // namespace foxwing::scheduler
