Finish jobs that have begun instead of cutting them at their queue's timeout

Cause: the entry answered 504 at 1,500 ms to jobs whose tasks take longer; callers wait on, and each cut job was also charged as held to the end. Change: the timeout bounds only the time until a job begins; begun ones are given up when the caller's own patience or 15 s end.

--- a/packages/catalog/include/foxwing/catalog/catalog.h
+++ b/packages/catalog/include/foxwing/catalog/catalog.h
@@ -49,7 +49,7 @@
     double stretch = 1.0;
     Milliseconds targetLatency { 0 };
 
-    // A request that was not answered for this long is given up.
+    // A job that has not begun after this long is given up.
     Milliseconds timeout { 0 };
 };
 template<class Fields>
--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -200,7 +200,9 @@
     terms.attempts = queue.attempts;
     terms.stretch = queue.stretch;
     terms.targetLatency = queue.targetLatency;
-    terms.deadline = now + std::min(queue.timeout, call.patience.value_or(queue.timeout));
+    terms.beginBy = now + queue.timeout;
+    if (call.patience)
+        terms.patienceUntil = now + *call.patience;
     std::uint64_t number = 0;
     scheduler::SchedulerActions actions = scheduler::submit(m_scheduler, *spec, terms, now,
                                                             &number);
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -77,6 +77,10 @@
     // Up to this many times its objective after it came, a job is still worth finishing.
     double lateFactor = 3.0;
 
+    // Work that has begun is finished, late too, but not beyond this: the longest task that the
+    // users name runs for several seconds.
+    Milliseconds longestJob { 15000 };
+
     // A job whose expected wait is over this many objectives is refused at once.
     double refuseAbove = 2.0;
 
@@ -101,8 +105,11 @@
     double stretch = 1.0;
     Milliseconds targetLatency { 0 };
 
-    // The caller waits until then at the most.
-    Time deadline {};
+    // What is not begun by then is given up.
+    Time beginBy {};
+
+    // The caller waits until then at the most, if it said so.
+    std::optional<Time> patienceUntil;
 };
 
 enum class TaskState {
--- a/packages/scheduler/src/ending.cpp
+++ b/packages/scheduler/src/ending.cpp
@@ -53,6 +53,8 @@
             .with("failures", failures)
             .with("took_ms", now - job.arrivedAt)
             .with("objective_ms", job.objectiveAt - job.arrivedAt);
+    if (job.terms.patienceUntil)
+        event.with("patience_ms", *job.terms.patienceUntil - job.arrivedAt);
     if (job.firstPlacedAt != Time {})
         event.with("waited_ms", job.firstPlacedAt - job.arrivedAt);
     if (!reason.empty())
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -361,7 +361,10 @@
                 objective * scheduler.settings.lateFactor);
         const Microseconds chain = job.objectiveAt - job.latestBegin;
         const bool hopeless = certainlyNotBegun(job) && now + chain > job.arrivedAt + lateSpan;
-        if (!job.over && (now >= job.terms.deadline || hopeless))
+        const bool unbegun = certainlyNotBegun(job) && now >= job.terms.beginBy;
+        const bool endless = now >= job.arrivedAt + scheduler.settings.longestJob;
+        const bool unwanted = job.terms.patienceUntil && now >= *job.terms.patienceUntil;
+        if (!job.over && (unbegun || endless || unwanted || hopeless))
             over.push_back(number);
     }
     for (const std::uint64_t number : over) {
