Tell catalogs once a turn and only by hosts that are current; quicker elections

Cause: after the final power loss an entry went through versions 4, 8, ... 64 in one burst of frames, each in force for a moment, and a control host that was cut off could hand an old catalog to an entry without any; no leader for 0.5 s after all were up. Change: a control host tells its catalog at the end of a turn, and only while it leads or heard its leader within 300 ms and has caught up with it; first election 150 to 300 ms after a start, later ones 400 to 800 ms, heartbeat 80 ms.

--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -42,6 +42,16 @@
 constexpr Milliseconds NodeBeatInterval { 500 };
 constexpr Milliseconds NodeSilence { 2500 };
 
+// A host that heard its leader this recently knows what is agreed, but for the last heartbeats. With
+// the time after which a cut-off leader steps down it stays well under the 2 s within which a
+// catalog is to be in force.
+constexpr Milliseconds CurrentSpan { 300 };
+
+// Elections of the group: hosts of one region answer within milliseconds, and a lost packet is sent
+// again after 200 to 300 ms.
+constexpr Milliseconds ElectionSpan { 400 };
+constexpr Milliseconds HeartbeatInterval { 80 };
+
 // The members of the group are looked over this often.
 constexpr Milliseconds MembersInterval { 200 };
 
@@ -58,6 +68,9 @@
     bool announced = false;
     Time heardAt {};
     std::uint64_t toldRevision = 0;
+
+    // Version of the catalog that was sent there
+    std::uint64_t toldCatalog = 0;
 };
 
 // Another control host that this one dials.
@@ -112,6 +125,8 @@
     void nodeConnected(const std::shared_ptr<fabric::Link> &link);
     void nodeReceived(std::uint64_t connection, std::string_view bytes);
     void tellDirectory();
+    void tellCatalog();
+    bool isCurrent(Time now) const;
     void beatNodes(Time now);
 
     // Group
@@ -148,6 +163,7 @@
     std::map<std::string, GroupPeer> m_controls;
     std::map<std::uint64_t, OperatorCall> m_calls;
     std::uint64_t m_lastCall = 0;
+    bool m_tellPosted = false;
     Time m_nextBeat {};
     Time m_nextMembers {};
     std::string m_toldLeader;
@@ -290,8 +306,7 @@
                            .with("address", peer.node.address));
         if (peer.node.role == directory::Role::Control)
             keepControl(peer.node.address);
-        else if (m_declared.catalog.version > 0)
-            peer.link->send(encodeFrame(Frame(CatalogPush { m_declared.catalog })));
+        tellCatalog();
     } else if (const auto *group = std::get_if<GroupFrame>(&*frame)) {
         Error reason;
         const auto message = decodeFrame<quorum::QuorumMessage>(group->bytes, &reason);
@@ -326,6 +341,33 @@
     }
 }
 
+// Whether what is agreed here is at most a moment old. A host that was cut off, or has just begun,
+// must not hand an old catalog to a process that has none.
+bool ControlShell::isCurrent(Time now) const
+{
+    const quorum::QuorumState &group = m_replica->state();
+    return m_replica->leadsNow()
+            || (!group.leader.empty() && group.commit > 0 && group.commit >= group.leaderCommit
+                && now < group.leaderHeardAt + CurrentSpan);
+}
+
+void ControlShell::tellCatalog()
+{
+    const std::uint64_t version = m_declared.catalog.version;
+    if (version == 0 || !isCurrent(steadyNow()))
+        return;
+    std::string frame;
+    for (auto &[connection, peer] : m_nodes) {
+        if (!peer.announced || peer.node.role == directory::Role::Control
+            || peer.toldCatalog >= version)
+            continue;
+        if (frame.empty())
+            frame = encodeFrame(Frame(CatalogPush { m_declared.catalog }));
+        peer.toldCatalog = version;
+        peer.link->send(frame);
+    }
+}
+
 void ControlShell::beatNodes(Time now)
 {
     if (now < m_nextBeat)
@@ -359,6 +401,8 @@
     settings.quorum.seed = device();
     settings.quorum.firstVoters = firstVoters();
     settings.quorum.selfManaged = true;
+    settings.quorum.electionSpan = ElectionSpan;
+    settings.quorum.heartbeatInterval = HeartbeatInterval;
     const std::string asFirst = innerAddress(m_core.settings) + "/" + FirstDisk;
     if (m_core.self.groupId != asFirst)
         settings.quorum.firstVoters.clear();
@@ -460,11 +504,15 @@
                        .with("version", declared.catalog.version)
                        .with("before", m_declared.catalog.version));
     m_declared = std::move(declared);
-    const std::string frame = encodeFrame(Frame(CatalogPush { m_declared.catalog }));
-    for (auto &[connection, peer] : m_nodes) {
-        if (peer.announced && peer.node.role != directory::Role::Control)
-            peer.link->send(frame);
-    }
+    // Once for everything that is agreed in this turn: a host that recovers goes through all
+    // versions, and only the last one may be seen.
+    if (m_tellPosted)
+        return;
+    m_tellPosted = true;
+    fabric::asio::post(m_core.io, [this] {
+        m_tellPosted = false;
+        tellCatalog();
+    });
 }
 
 bool ControlShell::committed(const std::string &text, std::uint64_t index, std::uint64_t term,
@@ -686,6 +734,7 @@
     m_replica->tick();
     directory::tick(m_directory, now);
     tellDirectory();
+    tellCatalog();
     beatNodes(now);
     watchMembers(now);
     tickCalls(now);
--- a/packages/quorum/include/foxwing/quorum/quorum.h
+++ b/packages/quorum/include/foxwing/quorum/quorum.h
@@ -44,6 +44,10 @@
     Milliseconds electionSpan { 600 };
     Milliseconds heartbeatInterval { 120 };
 
+    // The same for the first election after a start, when there may be no leader at all. The vote
+    // before the vote keeps it from disturbing a leader that is there.
+    Milliseconds firstElectionSpan { 150 };
+
     // Entries in one message
     std::size_t mostEntries = 64;
 
@@ -123,6 +127,9 @@
     Role role = Role::Follower;
     std::string leader;
     std::uint64_t commit = 0;
+
+    // What the leader had committed when it was heard last; above commit while this host lags.
+    std::uint64_t leaderCommit = 0;
     std::uint64_t applied = 0;
     Time electionAt {};
     Time leaderHeardAt {};
--- a/packages/quorum/src/election.cpp
+++ b/packages/quorum/src/election.cpp
@@ -13,9 +13,8 @@
 
 // [SECTION] Roles
 
-void setElectionTime(QuorumState &quorum, Time now)
+void setElectionTime(QuorumState &quorum, Time now, Microseconds span)
 {
-    const Microseconds span = quorum.settings.electionSpan;
     std::uniform_int_distribution<std::int64_t> extra(0, span.count());
     quorum.electionAt = now + span + Microseconds(extra(quorum.random));
 }
@@ -33,7 +32,7 @@
     quorum.role = Role::Follower;
     quorum.leader = leader;
     quorum.votes.clear();
-    setElectionTime(quorum, now);
+    setElectionTime(quorum, now, quorum.settings.electionSpan);
 }
 
 // [SECTION] Asking
@@ -66,7 +65,7 @@
     quorum.role = Role::Candidate;
     setVote(quorum, quorum.term + 1, quorum.settings.self, actions);
     askForVotes(quorum, false, actions);
-    setElectionTime(quorum, now);
+    setElectionTime(quorum, now, quorum.settings.electionSpan);
     if (hasWon(quorum))
         startLeading(quorum, now, actions);
 }
@@ -87,7 +86,7 @@
         return;
     quorum.role = Role::PreCandidate;
     quorum.leader.clear();
-    setElectionTime(quorum, now);
+    setElectionTime(quorum, now, quorum.settings.electionSpan);
     askForVotes(quorum, true, actions);
     if (hasWon(quorum))
         startElection(quorum, now, actions);
@@ -154,7 +153,7 @@
             && quorum.role == Role::Follower;
     if (reply.granted) {
         setVote(quorum, quorum.term, request.from, actions);
-        setElectionTime(quorum, now);
+        setElectionTime(quorum, now, quorum.settings.electionSpan);
     }
     reply.term = quorum.term;
     sendAfterSync(quorum, request.from, reply, actions);
--- a/packages/quorum/src/internal.h
+++ b/packages/quorum/src/internal.h
@@ -61,7 +61,8 @@
                        QuorumActions &actions);
 void handleVoteReply(QuorumState &quorum, const VoteReply &reply, Time now, QuorumActions &actions);
 void tickElection(QuorumState &quorum, Time now, QuorumActions &actions);
-void setElectionTime(QuorumState &quorum, Time now);
+// The next election is due after the span, up to twice of it.
+void setElectionTime(QuorumState &quorum, Time now, Microseconds span);
 
 // [SECTION] Replication
 
--- a/packages/quorum/src/quorum.cpp
+++ b/packages/quorum/src/quorum.cpp
@@ -51,7 +51,7 @@
     quorum.applied = quorum.snapshot.index;
     quorum.syncedIndex = lastIndex(quorum);
     refreshMembers(quorum);
-    setElectionTime(quorum, now);
+    setElectionTime(quorum, now, settings.firstElectionSpan);
     return quorum;
 }
 
--- a/packages/quorum/src/replication.cpp
+++ b/packages/quorum/src/replication.cpp
@@ -154,6 +154,7 @@
 {
     if (!acceptLeader(quorum, append.from, append.term, append.round, now, actions))
         return;
+    quorum.leaderCommit = append.commit;
     if (append.asLearner && !quorum.joined) {
         quorum.joined = true;
         writeRecord(quorum, VoteRecord { quorum.term, quorum.votedFor, true }, actions);
