--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -45,7 +45,7 @@
 
     // How long the endpoint goes on without a word from here; renewed by every look. Long enough
     // for an agent that gets no processor for half a second, see ownerSilence for the upper bound.
-    Milliseconds leaseSpan { 650 };
+    Milliseconds leaseSpan { 400 };
 
     // How long a look waits at the endpoint for an end. While something runs it also brings the
     // progress of each run, which is wanted within the time that the shortest tasks can spare.
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -67,9 +67,9 @@
     Milliseconds agentSilence { 400 };
 
     // After the last word to a lost agent, its runs are certainly over: it stops them when it does
-    // not hear the entry (450 ms), or its endpoint's lease ends (650 ms and 2 percent), and a stop
+    // not hear the entry (450 ms), or its endpoint's lease ends (400 ms and 2 percent), and a stop
     // takes 50 ms.
-    Milliseconds certainSilence { 1200 };
+    Milliseconds certainSilence { 950 };
 
     // Jobs waiting for room are looked through until this many could not be placed.
     std::size_t mostPassedOver = 16;
