Finish begun jobs first, and move a run only from an endpoint on which most is behind

Change: four groups in the queue (begun, on time, late, hopeless); the agent judges all runs together and tells whether most of more than one job are behind; trials of endpoints are logged.

--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -42,8 +42,8 @@
 constexpr Milliseconds NodeBeatInterval { 500 };
 constexpr Milliseconds NodeSilence { 2500 };
 
-// A host that heard its leader this recently knows what is agreed, but for the last heartbeats. With
-// the time after which a cut-off leader steps down it stays well under the 2 s within which a
+// A host that heard its leader this recently knows what is agreed, but for the last heartbeats.
+// With the time after which a cut-off leader steps down it stays well under the 2 s within which a
 // catalog is to be in force.
 constexpr Milliseconds CurrentSpan { 300 };
 
--- a/packages/jobs/include/foxwing/jobs/messages.h
+++ b/packages/jobs/include/foxwing/jobs/messages.h
@@ -144,6 +144,10 @@
     // What is left at its present pace; zero if it stands still.
     Milliseconds left { 0 };
     bool standsStill = false;
+
+    // Most of what runs beside it, of other jobs too, is behind: it is the endpoint, and not the
+    // estimate.
+    bool endpointSlow = false;
 };
 template<class Fields>
 void describe(Fields &fields, LagReport &report)
@@ -151,6 +155,7 @@
     fields("id", report.id);
     fields("left", report.left);
     fields("standsStill", report.standsStill);
+    fields("endpointSlow", report.endpointSlow);
 }
 
 // The agent's endpoint as an entry needs to know it.
--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -220,6 +220,11 @@
 
     std::uint32_t percent = 0;
     Time progressAt {};
+    bool behind = false;
+    bool still = false;
+
+    // At its present pace
+    Milliseconds left { 0 };
     Time lagToldAt {};
     bool lagged = false;
 };
@@ -287,6 +292,7 @@
     double bad = 0;
     Time badAt {};
     double pace = 1.0;
+    bool wasOnTrial = false;
 
     // Counters for the metrics
     std::uint64_t started = 0;
--- a/packages/runner/src/internal.h
+++ b/packages/runner/src/internal.h
@@ -46,7 +46,9 @@
 
 void noteGood(RunnerState &runner, const Run &run, Milliseconds took);
 void noteBad(RunnerState &runner, Time now);
-void judgeRun(RunnerState &runner, const jobs::RunId &id, Run &run, std::uint32_t percent, Time now,
-              RunnerActions &actions);
+
+// What the endpoint said of a run's progress; then what follows from all runs together.
+void noteProgress(RunnerState &runner, Run &run, std::uint32_t percent, Time now);
+void judgeRuns(RunnerState &runner, Time now, RunnerActions &actions);
 
 } // namespace foxwing::runner
--- a/packages/runner/src/offer.cpp
+++ b/packages/runner/src/offer.cpp
@@ -195,6 +195,15 @@
 void finishEvent(RunnerState &runner, Time now, RunnerActions &actions)
 {
     dropEndedSessions(runner);
+    if (onTrial(runner) != runner.wasOnTrial) {
+        runner.wasOnTrial = onTrial(runner);
+        actions.events.push_back(
+                eventlog::change(runner.wasOnTrial ? "endpoint-on-trial" : "endpoint-trusted")
+                        .with("life", runner.endpoint.life)
+                        .with("bad_percent", static_cast<int>(runner.bad * 100))
+                        .with("pace_percent", static_cast<int>(runner.pace * 100))
+                        .with("runs", std::uint64_t { runner.runs.size() }));
+    }
     const jobs::Room free = freeRoom(runner);
     const std::uint32_t most = mostStarts(runner, now);
     for (auto &[number, session] : runner.sessions) {
@@ -231,21 +240,57 @@
     runner.badAt = now;
 }
 
+void noteProgress(RunnerState &runner, Run &run, std::uint32_t percent, Time now)
+{
+    if (percent != run.percent) {
+        run.percent = percent;
+        run.progressAt = now;
+    }
+    run.behind = false;
+    run.still = false;
+    const Microseconds ran = now - run.startedAt;
+    if (run.state != RunState::Running || ran < runner.settings.judgeAfter)
+        return;
+    run.still = now - run.progressAt > runner.settings.stillAfter + run.estimate / 10;
+    const Microseconds whole = percent > 0 ? ran * 100 / percent : Microseconds(0);
+    const Microseconds most = run.estimate * runner.settings.behindPercent / 100
+            + runner.settings.judgeAfter;
+    run.behind = run.still || whole > most;
+    run.left = run.still ? Milliseconds(0) : std::chrono::duration_cast<Milliseconds>(whole - ran);
+}
+
 namespace {
 
-void tellLag(RunnerState &runner, const jobs::RunId &id, Run &run, Milliseconds left, bool still,
-             Time now, RunnerActions &actions)
+// Whether most runs are behind, of more than one job: estimates are wrong for one job at a time.
+bool endpointIsSlow(const RunnerState &runner, Time now)
+{
+    std::size_t judged = 0;
+    std::size_t behind = 0;
+    std::set<std::string> jobs;
+    for (const auto &[id, run] : runner.runs) {
+        if (run.state != RunState::Running || now < run.startedAt + runner.settings.judgeAfter)
+            continue;
+        ++judged;
+        behind += run.behind ? 1 : 0;
+        if (run.behind)
+            jobs.insert(id.task.job);
+    }
+    return jobs.size() > 1 && behind * 2 >= judged;
+}
+
+void tellLag(RunnerState &runner, const jobs::RunId &id, Run &run, bool slow, Time now,
+             RunnerActions &actions)
 {
     if (run.lagged && now < run.lagToldAt + runner.settings.lagRepeat)
         return;
-    if (!run.lagged)
+    if (!run.lagged && (run.still || slow))
         noteBad(runner, now);
     run.lagged = true;
     run.lagToldAt = now;
     const auto session = runner.sessions.find(run.session);
     if (session == runner.sessions.end())
         return;
-    session->second.lagging.push_back({ id, left, still });
+    session->second.lagging.push_back({ id, run.left, run.still, slow });
     session->second.dirty = true;
     actions.events.push_back(eventlog::Event("run-behind")
                                      .with("request", id.task.job)
@@ -255,29 +300,19 @@
                                      .with("percent", run.percent)
                                      .with("ran_ms", now - run.startedAt)
                                      .with("estimate_ms", run.estimate)
-                                     .with("progress_age_ms", now - run.progressAt));
+                                     .with("progress_age_ms", now - run.progressAt)
+                                     .with("endpoint_slow", slow ? 1 : 0));
 }
 
 } // namespace
 
-void judgeRun(RunnerState &runner, const jobs::RunId &id, Run &run, std::uint32_t percent, Time now,
-              RunnerActions &actions)
+void judgeRuns(RunnerState &runner, Time now, RunnerActions &actions)
 {
-    if (percent != run.percent) {
-        run.percent = percent;
-        run.progressAt = now;
+    const bool slow = endpointIsSlow(runner, now);
+    for (auto &[id, run] : runner.runs) {
+        if (run.behind)
+            tellLag(runner, id, run, slow, now, actions);
     }
-    const Microseconds ran = now - run.startedAt;
-    if (run.state != RunState::Running || ran < runner.settings.judgeAfter)
-        return;
-    if (now - run.progressAt > runner.settings.stillAfter + run.estimate / 10)
-        return tellLag(runner, id, run, Milliseconds(0), true, now, actions);
-    if (percent == 0)
-        return;
-    const Microseconds whole = ran * 100 / percent;
-    if (whole > run.estimate * runner.settings.behindPercent / 100 + runner.settings.judgeAfter)
-        tellLag(runner, id, run, std::chrono::duration_cast<Milliseconds>(whole - ran), false, now,
-                actions);
 }
 
 } // namespace foxwing::runner
--- a/packages/runner/src/runner.cpp
+++ b/packages/runner/src/runner.cpp
@@ -509,8 +509,9 @@
             continue;
         }
         markStarted(found->second, now);
-        judgeRun(runner, row.id, found->second, row.percent, now, actions);
+        noteProgress(runner, found->second, row.percent, now);
     }
+    judgeRuns(runner, now, actions);
     std::vector<std::pair<RunId, RunEnd>> gone;
     for (const auto &[id, run] : runner.runs) {
         const bool missing = listed.count(id) == 0 && run.goneIfMissingIn != 0;
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -140,6 +140,16 @@
     std::vector<std::string> avoid;
 };
 
+// Jobs that have begun go first: what they hold is wasted until their last task has run.
+enum class Rank {
+    Begun,
+    OnTime,
+    Late,
+
+    // Begun, and too late to be worth anything
+    Hopeless,
+};
+
 struct Job
 {
     std::uint64_t number = 0;
@@ -151,6 +161,9 @@
     Time objectiveAt {};
     Time latestBegin {};
 
+    // Begun later, it is worth nothing.
+    Time worthUntil {};
+
     std::vector<Task> tasks;
     std::vector<std::uint32_t> tasksLeft;
     std::uint32_t waiting = 0;
@@ -167,7 +180,7 @@
 
     // A job with the same id whose runs are not over yet
     std::uint64_t waitsFor = 0;
-    bool late = false;
+    Rank group = Rank::OnTime;
 };
 
 // [SECTION] Agents
@@ -198,13 +211,13 @@
 // Where a waiting job stands; smaller goes first.
 struct QueueKey
 {
-    bool late = false;
+    Rank group = Rank::OnTime;
     std::int64_t rank = 0;
     std::uint64_t number = 0;
 
     bool operator<(const QueueKey &other) const
     {
-        return std::tie(late, rank, number) < std::tie(other.late, other.rank, other.number);
+        return std::tie(group, rank, number) < std::tie(other.group, other.rank, other.number);
     }
 };
 
--- a/packages/scheduler/src/ending.cpp
+++ b/packages/scheduler/src/ending.cpp
@@ -246,7 +246,9 @@
     const jobs::StepSpec &step = job->spec.steps[task->step];
     const Milliseconds fresh = task->expected;
     const bool quicker = report.standsStill
-            || fresh < report.left * static_cast<int>(scheduler.settings.moveBelowPercent) / 100;
+            || (report.endpointSlow
+                && fresh < report.left * static_cast<int>(scheduler.settings.moveBelowPercent)
+                                / 100);
     const bool hasRoom = std::any_of(scheduler.agents.begin(), scheduler.agents.end(),
                                      [&](const auto &other) {
                                          return other.first != agent && other.second.welcomed
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -27,12 +27,10 @@
         key.rank = job.terms.priority;
         break;
     case Order::LatestBegin:
-        key.late = job.late;
-        // Of those that are late, the ones that have begun first, then the newest: the oldest
-        // are the next to be worth nothing.
-        key.rank = !job.late
-                ? job.latestBegin.time_since_epoch().count()
-                : (job.runs > 0 ? std::numeric_limits<std::int64_t>::min() / 2 : 0) - arrived;
+        key.group = job.group;
+        // Of those that are late the newest goes first: the oldest are the next to be worth
+        // nothing.
+        key.rank = job.group == Rank::Late ? -arrived : job.latestBegin.time_since_epoch().count();
         break;
     }
     return key;
@@ -214,21 +212,24 @@
     });
 }
 
-// The keys to be looked at, with those that have become late moved behind the others first.
+Rank groupOf(const Job &job, Time now)
+{
+    if (job.runs > 0)
+        return now > job.worthUntil ? Rank::Hopeless : Rank::Begun;
+    return job.latestBegin < now ? Rank::Late : Rank::OnTime;
+}
+
+// The keys to be looked at, after each job has found its group.
 std::vector<QueueKey> sortOut(SchedulerState &scheduler, Time now)
 {
-    std::vector<std::uint64_t> late;
-    for (const QueueKey &key : scheduler.queue) {
-        if (key.late || scheduler.settings.order != Order::LatestBegin)
-            break;
-        if (scheduler.jobs.at(key.number).latestBegin >= now)
-            break;
-        late.push_back(key.number);
-    }
-    for (const std::uint64_t number : late) {
-        Job &job = scheduler.jobs.at(number);
+    const std::vector<QueueKey> before(scheduler.queue.begin(), scheduler.queue.end());
+    for (const QueueKey &key : before) {
+        Job &job = scheduler.jobs.at(key.number);
+        const Rank group = groupOf(job, now);
+        if (group == job.group)
+            continue;
         dequeue(scheduler, job);
-        job.late = true;
+        job.group = group;
         enqueue(scheduler, job);
     }
     return { scheduler.queue.begin(), scheduler.queue.end() };
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -66,7 +66,8 @@
             std::chrono::duration<double, std::milli>(static_cast<double>(span.count()) * factor));
 }
 
-Job makeJob(const jobs::JobSpec &spec, const JobTerms &terms, Time now)
+Job makeJob(const SchedulerSettings &settings, const jobs::JobSpec &spec, const JobTerms &terms,
+            Time now)
 {
     Job job;
     job.spec = spec;
@@ -75,6 +76,8 @@
     const Milliseconds chain = chainOf(spec);
     job.objectiveAt = now + scaled(chain, terms.stretch) + terms.targetLatency;
     job.latestBegin = job.objectiveAt - chain;
+    const auto objective = std::chrono::duration_cast<Milliseconds>(job.objectiveAt - now);
+    job.worthUntil = now + scaled(objective, settings.lateFactor) - chain;
     for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
         job.tasksLeft.push_back(spec.steps[step].tasks);
         for (std::uint32_t index = 0; index < spec.steps[step].tasks; ++index) {
@@ -96,7 +99,7 @@
     double waiting = 0;
     for (const QueueKey &key : scheduler.queue) {
         const Job &job = scheduler.jobs.at(key.number);
-        if (key.late || job.latestBegin > wanted.latestBegin
+        if (key.group > Rank::OnTime || job.latestBegin > wanted.latestBegin
             || job.terms.service != wanted.terms.service)
             continue;
         const jobs::StepSpec &step = job.spec.steps.front();
@@ -168,7 +171,7 @@
         return actions;
     }
     ++scheduler.counters.submitted;
-    Job job = makeJob(spec, terms, now);
+    Job job = makeJob(scheduler.settings, spec, terms, now);
     job.number = ++scheduler.lastNumber;
     *number = job.number;
     const std::string why = refusal(scheduler, job);
@@ -356,11 +359,7 @@
 {
     std::vector<std::uint64_t> over;
     for (const auto &[number, job] : scheduler.jobs) {
-        const Microseconds objective = job.objectiveAt - job.arrivedAt;
-        const auto lateSpan = std::chrono::duration_cast<Microseconds>(
-                objective * scheduler.settings.lateFactor);
-        const Microseconds chain = job.objectiveAt - job.latestBegin;
-        const bool hopeless = certainlyNotBegun(job) && now + chain > job.arrivedAt + lateSpan;
+        const bool hopeless = certainlyNotBegun(job) && now > job.worthUntil;
         const bool unbegun = certainlyNotBegun(job) && now >= job.terms.beginBy;
         const bool endless = now >= job.arrivedAt + scheduler.settings.longestJob;
         const bool unwanted = job.terms.patienceUntil && now >= *job.terms.patienceUntil;
