Play the fleet's decisions on random schedules of faults, and mend a false 'not run'

Change: tests/fleet, entries, agents and pretended endpoints in virtual time with twelve kinds of fault; the promises (room, no two runs of a task, true 'not run') are checked after each step, and four guards are missed when taken away. Ruled out: 'not run' to a call that was sent again after its entry was lost is true for that call, the world counts calls.

--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -243,8 +243,10 @@
     // Nothing of an earlier session runs there any more.
     for (auto &[number, job] : scheduler.jobs) {
         for (Task &task : job.tasks) {
-            if (task.state == TaskState::Uncertain && task.agent == name)
-                freeTask(scheduler, job, task);
+            if (task.state != TaskState::Uncertain || task.agent != name)
+                continue;
+            job.mayHaveBegun = true;
+            freeTask(scheduler, job, task);
         }
     }
     for (auto item = scheduler.jobs.begin(); item != scheduler.jobs.end();) {
--- /dev/null
+++ b/tests/fleet/fleet_test.cpp
@@ -0,0 +1,170 @@
+/*
+    Promises of a fleet on random schedules of faults, and that each guard is missed when it is
+    taken away.
+
+    FOXWING_SEEDS sets how many seeds each row plays; FOXWING_FIRST_SEED where they begin.
+
+    [SECTION] Calm
+    [SECTION] Promises
+    [SECTION] Guards
+*/
+#include <cstdlib>
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+namespace foxwing::test {
+namespace {
+
+std::uint64_t fromEnvironment(const char *name, std::uint64_t otherwise)
+{
+    const char *text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : otherwise;
+}
+
+// [SECTION] Calm
+
+TEST(FleetCalm, ServesEverything)
+{
+    WorldSettings settings;
+    settings.betweenJobs = Milliseconds(60);
+    const WorldOutcome outcome = World(settings).play();
+    EXPECT_GT(outcome.submitted, 100U);
+    EXPECT_EQ(outcome.completed, outcome.submitted);
+    EXPECT_EQ(outcome.firstViolation, "");
+}
+
+TEST(FleetCalm, RefusesUnderOverloadAndStaysTrue)
+{
+    WorldSettings settings;
+    settings.betweenJobs = Milliseconds(8);
+    const WorldOutcome outcome = World(settings).play();
+    EXPECT_GT(outcome.notRun, 0U);
+    EXPECT_GT(outcome.completed, 0U);
+    EXPECT_EQ(outcome.falseNotRun, 0U);
+    EXPECT_EQ(outcome.firstViolation, "");
+}
+
+// [SECTION] Promises
+
+struct FaultCase
+{
+    const char *name;
+    std::vector<Fault> faults;
+};
+
+void PrintTo(const FaultCase &tested, std::ostream *out)
+{
+    *out << tested.name;
+}
+
+std::vector<Fault> allFaults()
+{
+    std::vector<Fault> faults;
+    for (int i = 0; i < Faults; ++i)
+        faults.push_back(static_cast<Fault>(i));
+    return faults;
+}
+
+class Promises : public testing::TestWithParam<FaultCase>
+{ };
+
+TEST_P(Promises, HoldOnEverySchedule)
+{
+    const std::uint64_t first = fromEnvironment("FOXWING_FIRST_SEED", 1);
+    const std::uint64_t seeds = fromEnvironment("FOXWING_SEEDS", 12);
+    std::uint64_t submitted = 0;
+    std::uint64_t completed = 0;
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+        WorldSettings settings;
+        settings.seed = seed;
+        settings.faults = GetParam().faults;
+        const WorldOutcome outcome = World(settings).play();
+        ASSERT_EQ(outcome.firstViolation, "") << "seed " << seed;
+        ASSERT_EQ(outcome.falseNotRun, 0U) << "seed " << seed;
+        submitted += outcome.submitted;
+        completed += outcome.completed;
+    }
+    // Most is served through any of these faults.
+    EXPECT_GT(completed * 2, submitted);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Fleet, Promises,
+        testing::Values(FaultCase { "EntryKill", { Fault::EntryKill } },
+                        FaultCase { "EntryFreeze", { Fault::EntryFreeze } },
+                        FaultCase { "AgentKill", { Fault::AgentKill } },
+                        FaultCase { "AgentFreeze", { Fault::AgentFreeze } },
+                        FaultCase { "Cut", { Fault::Cut } },
+                        FaultCase { "LateOrders", { Fault::LateOrders } },
+                        FaultCase { "EndpointCrash", { Fault::EndpointCrash } },
+                        FaultCase { "EndpointDark", { Fault::EndpointDark } },
+                        FaultCase { "EndpointHang", { Fault::EndpointHang } },
+                        FaultCase { "EndpointSlow", { Fault::EndpointSlow } },
+                        FaultCase { "EndpointFails", { Fault::EndpointFails } },
+                        FaultCase { "CallerLeaves", { Fault::CallerLeaves } },
+                        FaultCase { "LateOrdersAndKills",
+                                    { Fault::LateOrders, Fault::AgentKill, Fault::EntryKill } },
+                        FaultCase { "CutsAndLateOrders", { Fault::Cut, Fault::LateOrders } },
+                        FaultCase { "All", allFaults() }),
+        [](const auto &tested) { return tested.param.name; });
+
+// [SECTION] Guards
+
+struct GuardCase
+{
+    const char *name;
+    std::function<void(WorldSettings &)> takeAway;
+    std::vector<Fault> faults;
+};
+
+void PrintTo(const GuardCase &tested, std::ostream *out)
+{
+    *out << tested.name;
+}
+
+class Guards : public testing::TestWithParam<GuardCase>
+{ };
+
+TEST_P(Guards, AreMissedWhenTakenAway)
+{
+    for (std::uint64_t seed = 1; seed < 400; ++seed) {
+        WorldSettings settings;
+        settings.seed = seed;
+        settings.faults = GetParam().faults;
+        // Long enough to be still there when its caller sends it again.
+        settings.longestTask = 3000;
+        settings.betweenJobs = Milliseconds(60);
+        GetParam().takeAway(settings);
+        if (!World(settings).play().firstViolation.empty())
+            return;
+    }
+    FAIL() << "nobody missed the guard";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Fleet, Guards,
+        testing::Values(
+                // An agent that never counts its entry as silent runs on for a dead one.
+                GuardCase { "OwnerSilence",
+                            [](WorldSettings &s) { s.runner.ownerSilence = std::chrono::hours(1); },
+                            { Fault::EntryKill } },
+                // A lost agent's runs are started again before it has stopped them.
+                GuardCase { "CertainSilence",
+                            [](WorldSettings &s) { s.scheduler.certainSilence = Milliseconds(50); },
+                            { Fault::Cut } },
+                // A long lease outlives the agent that was killed.
+                GuardCase { "Lease",
+                            [](WorldSettings &s) { s.runner.leaseSpan = Milliseconds(5000); },
+                            { Fault::AgentKill } },
+                // Starts of an earlier life of the agent are carried out late.
+                GuardCase { "Deadline",
+                            [](WorldSettings &s) {
+                                s.runner.leaseSpan = std::chrono::minutes(1);
+                                s.fenceRises = false;
+                            },
+                            { Fault::LateOrders, Fault::AgentKill } }),
+        [](const auto &tested) { return tested.param.name; });
+
+} // namespace
+} // namespace foxwing::test
--- /dev/null
+++ b/tests/fleet/world.cpp
@@ -0,0 +1,602 @@
+/*
+    The fleet in virtual time.
+
+    [SECTION] Parts
+    [SECTION] Events
+    [SECTION] Callers
+    [SECTION] Entries
+    [SECTION] Agents
+    [SECTION] Faults
+    [SECTION] Promises
+*/
+#include "world.h"
+
+#include <algorithm>
+
+namespace foxwing::test {
+
+// [SECTION] Parts
+
+namespace {
+
+constexpr Milliseconds LinkDelay { 1 };
+constexpr Milliseconds OrderDelay { 1 };
+constexpr Milliseconds OrderTimeout { 60 };
+constexpr Milliseconds TickInterval { 20 };
+constexpr Milliseconds BeatInterval { 1500 };
+constexpr Milliseconds ResendAfter { 1300 };
+const jobs::Room Capacity { 16000, 65536, 0 };
+
+// Work after the last job came, so that every answer is out.
+constexpr Milliseconds Tail { 20000 };
+
+std::string nameOf(const char *kind, int number)
+{
+    return std::string(kind) + "-" + std::to_string(number);
+}
+
+} // namespace
+
+// Something that can be killed or stand still; what is for a killed life of it is dropped, what
+// comes while it stands still is done when it goes on.
+struct World::Process
+{
+    bool up = false;
+    std::uint64_t life = 0;
+    Time frozenUntil {};
+};
+
+struct World::Session
+{
+    std::uint64_t number = 0;
+    bool open = false;
+};
+
+struct World::Entry : World::Process
+{
+    scheduler::SchedulerState state;
+    Time lastTurn {};
+
+    // To each agent
+    std::vector<Session> sessions;
+    std::map<std::uint64_t, std::uint64_t> calls;
+};
+
+struct World::Agent : World::Process
+{
+    runner::RunnerState state;
+    std::unique_ptr<FakeEndpoint> endpoint;
+    bool dark = false;
+    bool gone = false;
+    Time lateUntil {};
+    Time cutUntil {};
+    std::uint64_t beats = 0;
+};
+
+struct World::Call
+{
+    jobs::JobSpec spec;
+    int entry = 0;
+
+    // Sent before, to an entry that was lost: what began there does not speak against this one.
+    bool resent = false;
+};
+
+World::World(const WorldSettings &settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+{
+    m_end = m_now + settings.length;
+    for (int i = 0; i < settings.entries; ++i) {
+        m_entries.push_back(std::make_unique<Entry>());
+        m_entries.back()->sessions.resize(static_cast<std::size_t>(settings.agents));
+    }
+    std::uniform_int_distribution<int> offset(0, 100000);
+    for (int i = 0; i < settings.agents; ++i) {
+        m_agents.push_back(std::make_unique<Agent>());
+        const double rate = i % 2 == 0 ? 1.0 : 0.98;
+        m_agents.back()->endpoint =
+                std::make_unique<FakeEndpoint>("life-" + std::to_string(++m_lastLife), rate,
+                                               Milliseconds(offset(m_random)));
+    }
+}
+
+World::~World() = default;
+
+// [SECTION] Events
+
+void World::at(Time when, std::function<void()> job)
+{
+    m_events.push({ when, ++m_order, std::move(job) });
+}
+
+void World::on(Process &process, Milliseconds delay, std::function<void()> job)
+{
+    const std::uint64_t life = process.life;
+    at(m_now + delay, [this, &process, life, job = std::move(job)]() mutable {
+        if (!process.up || process.life != life)
+            return;
+        if (m_now < process.frozenUntil)
+            return at(process.frozenUntil, [this, &process, life, job = std::move(job)] {
+                if (process.up && process.life == life)
+                    on(process, Milliseconds(0), job);
+            });
+        job();
+    });
+}
+
+WorldOutcome World::play()
+{
+    for (int i = 0; i < m_settings.entries; ++i)
+        restartEntry(i, Milliseconds(0));
+    for (int i = 0; i < m_settings.agents; ++i)
+        restartAgent(i, Milliseconds(0));
+    at(m_now + Milliseconds(2000), [this] { submitJobs(); });
+    drawFaults();
+    while (!m_events.empty() && m_now < m_end + Tail) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = std::max(m_now, event.when);
+        event.job();
+        check();
+    }
+    return m_outcome;
+}
+
+// [SECTION] Callers
+
+void World::submitJobs()
+{
+    if (m_now >= m_end)
+        return;
+    std::uniform_int_distribution<int> tasks(1, 8);
+    std::uniform_int_distribution<int> span(40, m_settings.longestTask);
+    std::uniform_int_distribution<int> cores(1000, 2200);
+    jobs::JobSpec spec;
+    spec.id = nameOf("job", static_cast<int>(++m_lastJob));
+    spec.traits.kept = false;
+    jobs::StepSpec step;
+    step.tasks = static_cast<std::uint32_t>(tasks(m_random));
+    step.estimate = Milliseconds(span(m_random));
+    step.room = { cores(m_random), 64, 0 };
+    spec.steps = { step };
+    m_specs[spec.id] = spec;
+    ++m_outcome.submitted;
+    submit(spec, m_now);
+    at(m_now + m_settings.betweenJobs, [this] { submitJobs(); });
+}
+
+void World::submit(const jobs::JobSpec &spec, Time firstSent)
+{
+    std::uniform_int_distribution<int> any(0, m_settings.entries - 1);
+    const int chosen = any(m_random);
+    const std::uint64_t call = ++m_lastCall;
+    Entry &entry = *m_entries[static_cast<std::size_t>(chosen)];
+    if (!entry.up)
+        return at(m_now + ResendAfter, [this, spec, firstSent] {
+            if (m_now < firstSent + Milliseconds(4000))
+                submit(spec, firstSent);
+        });
+    m_calls[call] = { spec, chosen, m_now > firstSent };
+    on(entry, LinkDelay, [this, call, chosen] {
+        Entry &taker = *m_entries[static_cast<std::size_t>(chosen)];
+        scheduler::JobTerms terms;
+        terms.queue = "queue";
+        terms.service = "service";
+        terms.attempts = 3;
+        terms.stretch = 1.6;
+        terms.targetLatency = Milliseconds(60);
+        terms.beginBy = m_now + Milliseconds(1500);
+        std::uint64_t number = 0;
+        auto actions = scheduler::submit(taker.state, m_calls.at(call).spec, terms, m_now, &number);
+        taker.calls[number] = call;
+        carryOut(chosen, std::move(actions));
+    });
+}
+
+void World::callerLost(std::uint64_t call)
+{
+    const auto found = m_calls.find(call);
+    if (found == m_calls.end())
+        return;
+    const jobs::JobSpec spec = found->second.spec;
+    m_calls.erase(found);
+    at(m_now + ResendAfter, [this, spec, sent = m_now] { submit(spec, sent); });
+}
+
+void World::answered(int number, const scheduler::JobAnswer &answer)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    const auto call = entry.calls.find(answer.number);
+    if (call == entry.calls.end())
+        return;
+    const auto found = m_calls.find(call->second);
+    const std::string id = found == m_calls.end() ? "" : found->second.spec.id;
+    switch (answer.outcome) {
+    case scheduler::JobOutcome::Completed:
+        ++m_outcome.completed;
+        break;
+    case scheduler::JobOutcome::Failed:
+        ++m_outcome.failed;
+        break;
+    case scheduler::JobOutcome::NotRun:
+        ++m_outcome.notRun;
+        if (m_began.count(id) != 0 && !found->second.resent)
+            ++m_outcome.falseNotRun;
+        break;
+    case scheduler::JobOutcome::TimedOut:
+        ++m_outcome.timedOut;
+        break;
+    }
+    m_calls.erase(call->second);
+    entry.calls.erase(call);
+}
+
+// [SECTION] Entries
+
+void World::restartEntry(int number, Milliseconds after)
+{
+    at(m_now + after, [this, number] {
+        Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+        entry.up = true;
+        ++entry.life;
+        entry.lastTurn = m_now;
+        scheduler::SchedulerSettings settings = m_settings.scheduler;
+        settings.seed = m_random();
+        entry.state = scheduler::makeScheduler(settings);
+        entry.state.entries = static_cast<std::uint32_t>(m_settings.entries);
+        entry.calls.clear();
+        for (Session &session : entry.sessions)
+            session.open = false;
+        tickEntry(number);
+    });
+}
+
+void World::tickEntry(int number)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    // As the daemon's shell does after a pause.
+    if (m_now - entry.lastTurn >= Milliseconds(400)) {
+        carryOut(number, scheduler::giveUpAll(entry.state, "stood still", m_now));
+        for (int agent = 0; agent < m_settings.agents; ++agent)
+            disconnect(number, agent);
+    }
+    entry.lastTurn = m_now;
+    for (int agent = 0; agent < m_settings.agents; ++agent)
+        connect(number, agent);
+    carryOut(number, scheduler::tick(entry.state, m_now));
+    on(entry, TickInterval, [this, number] { tickEntry(number); });
+}
+
+bool World::pathOpen(int entry, int agent) const
+{
+    const Agent &to = *m_agents[static_cast<std::size_t>(agent)];
+    return m_entries[static_cast<std::size_t>(entry)]->up && to.up && m_now >= to.cutUntil;
+}
+
+void World::connect(int number, int agentNumber)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    Agent &agent = *m_agents[static_cast<std::size_t>(agentNumber)];
+    Session &session = entry.sessions[static_cast<std::size_t>(agentNumber)];
+    if (session.open || !pathOpen(number, agentNumber))
+        return;
+    session.open = true;
+    session.number = ++m_lastSession;
+    carryOut(number, scheduler::agentConnected(entry.state, nameOf("agent", agentNumber), m_now));
+    on(agent, LinkDelay, [this, agentNumber, number, id = session.number] {
+        Agent &opened = *m_agents[static_cast<std::size_t>(agentNumber)];
+        carryOut(agentNumber,
+                 runner::openSession(opened.state, id, nameOf("entry", number), m_now));
+    });
+}
+
+void World::disconnect(int number, int agentNumber)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    Session &session = entry.sessions[static_cast<std::size_t>(agentNumber)];
+    if (!session.open)
+        return;
+    session.open = false;
+    if (entry.up)
+        on(entry, Milliseconds(0), [this, number, agentNumber] {
+            Entry &told = *m_entries[static_cast<std::size_t>(number)];
+            carryOut(number, scheduler::agentLost(told.state, nameOf("agent", agentNumber), m_now));
+        });
+    // Behind a cut the agent learns nothing of it.
+    if (pathOpen(number, agentNumber))
+        on(*m_agents[static_cast<std::size_t>(agentNumber)], LinkDelay,
+           [this, agentNumber, id = session.number] {
+               Agent &told = *m_agents[static_cast<std::size_t>(agentNumber)];
+               carryOut(agentNumber, runner::closeSession(told.state, id, m_now));
+           });
+}
+
+void World::sendToAgent(int number, const scheduler::AgentSend &send)
+{
+    const int agentNumber = std::stoi(send.agent.substr(send.agent.find('-') + 1));
+    const Session session = m_entries[static_cast<std::size_t>(number)]
+                                    ->sessions[static_cast<std::size_t>(agentNumber)];
+    if (!session.open || !pathOpen(number, agentNumber))
+        return;
+    on(*m_agents[static_cast<std::size_t>(agentNumber)], LinkDelay,
+       [this, agentNumber, id = session.number, message = send.message] {
+           runner::RunnerState &state = m_agents[static_cast<std::size_t>(agentNumber)]->state;
+           if (const auto *start = std::get_if<jobs::StartTasks>(&message))
+               carryOut(agentNumber, runner::startTasks(state, id, *start, m_now));
+           else if (const auto *stop = std::get_if<jobs::StopRuns>(&message))
+               carryOut(agentNumber, runner::stopRuns(state, id, *stop, m_now));
+           else
+               carryOut(agentNumber,
+                        runner::sessionBeat(state, id, std::get<jobs::SessionBeat>(message).number,
+                                            m_now));
+       });
+}
+
+void World::carryOut(int number, scheduler::SchedulerActions actions)
+{
+    for (const scheduler::AgentSend &send : actions.sends)
+        sendToAgent(number, send);
+    for (const scheduler::JobAnswer &answer : actions.answers)
+        answered(number, answer);
+    for (const std::string &name : actions.closes)
+        disconnect(number, std::stoi(name.substr(name.find('-') + 1)));
+}
+
+// [SECTION] Agents
+
+void World::restartAgent(int number, Milliseconds after)
+{
+    at(m_now + after, [this, number] {
+        Agent &agent = *m_agents[static_cast<std::size_t>(number)];
+        agent.up = true;
+        ++agent.life;
+        // Without a disk a new life can only guess a higher fence; the endpoint corrects it.
+        m_lastFence += m_settings.fenceRises ? 1000 : 0;
+        agent.state = runner::makeRunner(m_settings.runner, agent.life, m_lastFence);
+        beat(number);
+        tickAgent(number);
+    });
+}
+
+void World::tickAgent(int number)
+{
+    Agent &agent = *m_agents[static_cast<std::size_t>(number)];
+    carryOut(number, runner::tick(agent.state, m_now));
+    on(agent, TickInterval, [this, number] { tickAgent(number); });
+}
+
+void World::beat(int number)
+{
+    Agent &agent = *m_agents[static_cast<std::size_t>(number)];
+    if (!agent.dark && !agent.gone) {
+        runner::EndpointReport report;
+        report.life = agent.endpoint->life;
+        report.service = "service";
+        report.capacity = Capacity;
+        report.sequence = ++agent.beats;
+        report.clock = agent.endpoint->clock(m_now);
+        carryOut(number, runner::endpointHeard(agent.state, report, m_now));
+    }
+    on(agent, BeatInterval, [this, number] { beat(number); });
+}
+
+// An order goes out, may be done late and unanswered, and is answered once.
+template<class Order, class Do, class Answered>
+void World::order(int number, const Order &order, Milliseconds wait, Do run, Answered back)
+{
+    Agent &agent = *m_agents[static_cast<std::size_t>(number)];
+    std::uniform_int_distribution<int> percent(0, 99);
+    std::uniform_int_distribution<int> lateBy(2000, 12000);
+    const bool late = m_now < agent.lateUntil && percent(m_random) < 40;
+    const bool lost = late || agent.dark;
+    const Time doneAt = m_now + (late ? Milliseconds(lateBy(m_random)) : OrderDelay + wait);
+    if (!agent.dark)
+        at(doneAt, [this, number, order, run, back, lost] {
+            Agent &here = *m_agents[static_cast<std::size_t>(number)];
+            if (here.dark || here.gone)
+                return;
+            const auto result = run(*here.endpoint, order);
+            if (!lost)
+                on(here, OrderDelay, [back, result] { back(result); });
+        });
+    if (lost)
+        on(agent, wait + OrderTimeout, [back] { back({}); });
+}
+
+void World::carryOut(int number, runner::RunnerActions actions)
+{
+    for (const runner::StopOrder &stop : actions.stops)
+        order(
+                number, stop, Milliseconds(0),
+                [this](FakeEndpoint &endpoint, const runner::StopOrder &wanted) {
+                    return endpoint.stop(wanted, m_now);
+                },
+                [this, number, id = stop.id](const runner::Answered &answered) {
+                    Agent &agent = *m_agents[static_cast<std::size_t>(number)];
+                    carryOut(number, runner::stopAnswered(agent.state, id, answered, m_now));
+                });
+    for (const runner::StartOrder &start : actions.starts)
+        order(
+                number, start, Milliseconds(0),
+                [this](FakeEndpoint &endpoint, const runner::StartOrder &wanted) {
+                    const Milliseconds work = m_specs.at(wanted.id.task.job).steps[0].estimate;
+                    const auto answered = endpoint.start(wanted, m_now, work);
+                    if (answered.answer == runner::Answer::Ok)
+                        m_began.insert(wanted.id.task.job);
+                    return answered;
+                },
+                [this, number, id = start.id](const runner::Answered &answered) {
+                    Agent &agent = *m_agents[static_cast<std::size_t>(number)];
+                    carryOut(number, runner::startAnswered(agent.state, id, answered, m_now));
+                });
+    if (actions.look) {
+        const runner::LookOrder &look = *actions.look;
+        order(
+                number, look, std::min(look.wait, Milliseconds(30)),
+                [this](FakeEndpoint &endpoint, const runner::LookOrder &wanted) {
+                    return endpoint.look(wanted, m_now);
+                },
+                [this, number, id = look.number](const runner::Look &seen) {
+                    Agent &agent = *m_agents[static_cast<std::size_t>(number)];
+                    carryOut(number, runner::lookAnswered(agent.state, id, seen, m_now));
+                });
+    }
+    const auto deliver = [&](std::uint64_t session, auto message, auto handle) {
+        for (int i = 0; i < m_settings.entries; ++i) {
+            Entry &entry = *m_entries[static_cast<std::size_t>(i)];
+            const Session &known = entry.sessions[static_cast<std::size_t>(number)];
+            if (!known.open || known.number != session || !pathOpen(i, number))
+                continue;
+            on(entry, LinkDelay, [this, i, number, session, message, handle] {
+                Entry &to = *m_entries[static_cast<std::size_t>(i)];
+                const Session &now = to.sessions[static_cast<std::size_t>(number)];
+                if (now.open && now.number == session)
+                    carryOut(i, handle(to.state, nameOf("agent", number), message, m_now));
+            });
+        }
+    };
+    for (const auto &[session, message] : actions.welcomes)
+        deliver(session, message, scheduler::agentWelcomed);
+    for (const auto &[session, message] : actions.updates)
+        deliver(session, message, scheduler::agentUpdated);
+    for (const std::uint64_t session : actions.closes) {
+        for (int i = 0; i < m_settings.entries; ++i) {
+            const Session &known = m_entries[static_cast<std::size_t>(i)]
+                                           ->sessions[static_cast<std::size_t>(number)];
+            if (known.number == session)
+                disconnect(i, number);
+        }
+    }
+}
+
+// [SECTION] Faults
+
+void World::drawFaults()
+{
+    if (m_settings.faults.empty())
+        return;
+    std::uniform_int_distribution<int> count(1, m_settings.mostFaults);
+    std::uniform_int_distribution<std::size_t> kind(0, m_settings.faults.size() - 1);
+    std::uniform_int_distribution<std::int64_t> when(2500, m_settings.length.count());
+    for (int i = count(m_random); i > 0; --i) {
+        const Fault fault = m_settings.faults[kind(m_random)];
+        at(m_now + Milliseconds(when(m_random)), [this, fault] { strike(fault); });
+    }
+}
+
+void World::strike(Fault fault)
+{
+    std::uniform_int_distribution<std::size_t> anyEntry(0, m_entries.size() - 1);
+    std::uniform_int_distribution<std::size_t> anyAgent(0, m_agents.size() - 1);
+    std::uniform_int_distribution<int> span(200, 4000);
+    const std::size_t entryNumber = anyEntry(m_random);
+    const std::size_t agentNumber = anyAgent(m_random);
+    Entry &entry = *m_entries[entryNumber];
+    Agent &agent = *m_agents[agentNumber];
+    const Milliseconds lasts(span(m_random));
+    const auto later = [&](auto job) { at(m_now + lasts, job); };
+    switch (fault) {
+    case Fault::EntryKill:
+        if (!entry.up)
+            return;
+        entry.up = false;
+        for (int i = 0; i < m_settings.agents; ++i) {
+            Session &session = entry.sessions[static_cast<std::size_t>(i)];
+            // Half of the kills are losses of power, of which the agent is told nothing.
+            if (session.open && lasts.count() % 2 == 0)
+                on(*m_agents[static_cast<std::size_t>(i)], LinkDelay,
+                   [this, i, id = session.number] {
+                       Agent &told = *m_agents[static_cast<std::size_t>(i)];
+                       carryOut(i, runner::closeSession(told.state, id, m_now));
+                   });
+            session.open = false;
+        }
+        for (const auto &[number, call] : std::map<std::uint64_t, std::uint64_t>(entry.calls))
+            callerLost(call);
+        restartEntry(static_cast<int>(entryNumber), lasts);
+        break;
+    case Fault::EntryFreeze:
+        entry.frozenUntil = m_now + lasts;
+        break;
+    case Fault::AgentKill:
+        if (!agent.up)
+            return;
+        for (int i = 0; i < m_settings.entries; ++i)
+            disconnect(i, static_cast<int>(agentNumber));
+        agent.up = false;
+        restartAgent(static_cast<int>(agentNumber), lasts);
+        break;
+    case Fault::AgentFreeze:
+        agent.frozenUntil = m_now + lasts;
+        break;
+    case Fault::Cut:
+        agent.cutUntil = m_now + lasts;
+        break;
+    case Fault::LateOrders:
+        agent.lateUntil = m_now + lasts;
+        break;
+    case Fault::EndpointCrash:
+        agent.endpoint->crash("life-" + std::to_string(++m_lastLife));
+        break;
+    case Fault::EndpointDark:
+        agent.dark = true;
+        later([this, agentNumber] { m_agents[agentNumber]->dark = false; });
+        break;
+    case Fault::EndpointHang:
+        agent.endpoint->hangs = true;
+        later([this, agentNumber] { m_agents[agentNumber]->endpoint->hangs = false; });
+        break;
+    case Fault::EndpointSlow:
+        agent.endpoint->slowness = 6;
+        later([this, agentNumber] { m_agents[agentNumber]->endpoint->slowness = 1; });
+        break;
+    case Fault::EndpointFails:
+        agent.endpoint->failsAll = true;
+        later([this, agentNumber] { m_agents[agentNumber]->endpoint->failsAll = false; });
+        break;
+    case Fault::CallerLeaves:
+        // The connection of one caller is reset; it sends the job again, to any entry.
+        if (!entry.up || entry.calls.empty())
+            return;
+        on(entry, LinkDelay, [this, entryNumber, number = entry.calls.begin()->first] {
+            Entry &left = *m_entries[entryNumber];
+            const auto call = left.calls.find(number);
+            if (call == left.calls.end())
+                return;
+            const std::uint64_t lost = call->second;
+            left.calls.erase(call);
+            carryOut(static_cast<int>(entryNumber), scheduler::abandon(left.state, number, m_now));
+            callerLost(lost);
+        });
+        break;
+    }
+}
+
+// [SECTION] Promises
+
+void World::violate(std::uint64_t &counter, const std::string &what)
+{
+    ++counter;
+    if (m_outcome.firstViolation.empty())
+        m_outcome.firstViolation = what + " at "
+                + std::to_string(m_now.time_since_epoch().count() / 1000 - 1000000) + " ms";
+}
+
+void World::check()
+{
+    std::set<jobs::TaskId> running;
+    for (const auto &agent : m_agents) {
+        agent->endpoint->advance(m_now);
+        jobs::Room used;
+        for (const auto &[id, run] : agent->endpoint->runs()) {
+            used += m_specs.at(id.task.job).steps[id.task.step].room;
+            if (!running.insert(id.task).second)
+                violate(m_outcome.runsOverlapped, "two runs of " + id.task.job);
+        }
+        if (!jobs::fits(used, Capacity))
+            violate(m_outcome.roomExceeded, "room exceeded at " + agent->endpoint->life);
+    }
+}
+
+} // namespace foxwing::test
--- /dev/null
+++ b/tests/fleet/world.h
@@ -0,0 +1,152 @@
+/*
+    A small fleet in virtual time: entries, agents and pretended endpoints, with callers that send a
+    job again after they have lost their entry, and faults drawn from a seed.
+
+    Everything that decides is the code that the daemon runs. After each step the promises are
+    checked from what the endpoints run: room is never exceeded, and no task has two runs at once.
+
+    [SECTION] Settings
+    [SECTION] World
+*/
+#pragma once
+
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+
+#include <foxwing/scheduler/scheduler.h>
+
+#include "endpoint.h"
+
+namespace foxwing::test {
+
+// [SECTION] Settings
+
+enum class Fault {
+    EntryKill,
+    EntryFreeze,
+    AgentKill,
+    AgentFreeze,
+    Cut,
+    LateOrders,
+    EndpointCrash,
+    EndpointDark,
+    EndpointHang,
+    EndpointSlow,
+    EndpointFails,
+    CallerLeaves,
+};
+constexpr int Faults = 12;
+
+struct WorldSettings
+{
+    std::uint64_t seed = 1;
+    int entries = 2;
+    int agents = 4;
+    Milliseconds length { 12000 };
+    Milliseconds betweenJobs { 25 };
+
+    // In milliseconds
+    int longestTask = 600;
+
+    // None in a calm world
+    std::vector<Fault> faults;
+    int mostFaults = 6;
+
+    // Guards that a test takes away to see them missed
+    runner::RunnerSettings runner;
+    scheduler::SchedulerSettings scheduler;
+    bool fenceRises = true;
+};
+
+struct WorldOutcome
+{
+    std::uint64_t submitted = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t timedOut = 0;
+
+    // Calls answered as not run though a task of theirs had begun
+    std::uint64_t falseNotRun = 0;
+    std::uint64_t roomExceeded = 0;
+    std::uint64_t runsOverlapped = 0;
+    std::string firstViolation;
+};
+
+// [SECTION] World
+
+class World
+{
+public:
+    explicit World(const WorldSettings &settings);
+    ~World();
+
+    WorldOutcome play();
+
+private:
+    struct Process;
+    struct Entry;
+    struct Agent;
+    struct Call;
+    struct Session;
+
+    void at(Time when, std::function<void()> job);
+    void on(Process &process, Milliseconds delay, std::function<void()> job);
+
+    void submitJobs();
+    void submit(const jobs::JobSpec &spec, Time firstSent);
+    void callerLost(std::uint64_t call);
+    void tickEntry(int entry);
+    void tickAgent(int agent);
+    void connect(int entry, int agent);
+    void disconnect(int entry, int agent);
+    bool pathOpen(int entry, int agent) const;
+    void carryOut(int entry, scheduler::SchedulerActions actions);
+    void carryOut(int agent, runner::RunnerActions actions);
+    void sendToAgent(int entry, const scheduler::AgentSend &send);
+    void answered(int entry, const scheduler::JobAnswer &answer);
+    template<class Order, class Do, class Answered>
+    void order(int agent, const Order &order, Milliseconds wait, Do run, Answered back);
+    void beat(int agent);
+
+    void drawFaults();
+    void strike(Fault fault);
+    void restartEntry(int entry, Milliseconds after);
+    void restartAgent(int agent, Milliseconds after);
+    void check();
+    void violate(std::uint64_t &counter, const std::string &what);
+
+    WorldSettings m_settings;
+    std::mt19937_64 m_random;
+    Time m_now { Seconds(1000) };
+    Time m_end {};
+    std::uint64_t m_order = 0;
+    struct Event
+    {
+        Time when {};
+        std::uint64_t order = 0;
+        std::function<void()> job;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(other.when, other.order) < std::tie(when, order);
+        }
+    };
+    std::priority_queue<Event> m_events;
+    std::vector<std::unique_ptr<Entry>> m_entries;
+    std::vector<std::unique_ptr<Agent>> m_agents;
+    std::map<std::uint64_t, Call> m_calls;
+    std::uint64_t m_lastCall = 0;
+    std::uint64_t m_lastSession = 0;
+    std::uint64_t m_lastJob = 0;
+    std::uint64_t m_lastLife = 0;
+    std::uint64_t m_lastFence = 1000;
+
+    // Tasks' rooms and work, by job
+    std::map<std::string, jobs::JobSpec> m_specs;
+    std::set<std::string> m_began;
+    WorldOutcome m_outcome;
+};
+
+} // namespace foxwing::test
