Let the lease of an endpoint that is out of reach come to its end

Cause: every look that was tried renewed the lease, also those that got no answer and may be done later; so the runs of a silent endpoint never counted as lapsed, and their jobs waited for it to come back. Change: looks renew the lease only while looks are answered. Ruled out: the pretended endpoint of tests/fleet itself dropped the answer of an order that was under way when it went dark; mended.

--- a/packages/runner/src/offer.cpp
+++ b/packages/runner/src/offer.cpp
@@ -175,7 +175,8 @@
     look.wait = quick ? Milliseconds(0)
             : busy    ? runner.settings.busyWait
                       : runner.settings.idleWait;
-    if (busy)
+    // Not while the endpoint is out of reach: its lease must come to an end that is known here.
+    if (busy && runner.looksFailed == 0)
         look.deadline = leaseDeadline(runner, now);
     if (look.deadline)
         runner.leaseUntil = std::max(runner.leaseUntil, *look.deadline);
--- a/packages/runner/tests/runner_test.cpp
+++ b/packages/runner/tests/runner_test.cpp
@@ -1,1 +1,459 @@
+/*
+    What the runner starts, stops, and says of its endpoint.
+
+    [SECTION] Helpers
+    [SECTION] Starts
+    [SECTION] Unanswered orders
+    [SECTION] Lives and leases
+    [SECTION] Sessions
+    [SECTION] Judgement
+*/
 #include <gtest/gtest.h>
+
+#include <foxwing/runner/runner.h>
+
+namespace foxwing::runner {
+namespace {
+
+using jobs::RefusedStart;
+using jobs::RunEnd;
+using jobs::RunId;
+
+// [SECTION] Helpers
+
+constexpr std::uint64_t Entry = 1;
+
+RunId runId(std::uint32_t index, std::uint32_t run = 1)
+{
+    return { { "job", 0, 0, index }, run };
+}
+
+EndpointReport makeReport(const std::string &life, std::uint64_t sequence)
+{
+    EndpointReport report;
+    report.life = life;
+    report.service = "align";
+    report.capacity = { 4000, 1000, 0 };
+    report.sequence = sequence;
+    report.clock = Milliseconds(50000);
+    return report;
+}
+
+struct Bench
+{
+    Bench()
+    {
+        endpointHeard(runner, makeReport("life-1", 1), now);
+        answerLook({});
+        openSession(runner, Entry, "entry-1", now);
+    }
+
+    // Answers the look that is under way, or the next one; what comes of it.
+    RunnerActions answerLook(Look look)
+    {
+        while (!runner.lookUnderWay)
+            pass(runner.settings.lookPause);
+        if (look.answered.answer == Answer::None && !failLook)
+            look.answered = { Answer::Ok, clock() };
+        return lookAnswered(runner, runner.lookNumber, look, now);
+    }
+
+    Milliseconds clock() const
+    {
+        return Milliseconds(50000)
+                + std::chrono::duration_cast<Milliseconds>(now - Time(Seconds(100)));
+    }
+
+    RunnerActions start(std::uint32_t index, std::int64_t cores = 1000, std::uint32_t run = 1)
+    {
+        jobs::StartTasks message;
+        message.job = "job";
+        message.room = { cores, 10, 0 };
+        message.estimate = Milliseconds(100);
+        message.starts = { { index, run } };
+        return startTasks(runner, Entry, message, now);
+    }
+
+    // Time goes by, with the entry heard all the while.
+    RunnerActions pass(Milliseconds span)
+    {
+        now += span;
+        for (auto &[number, session] : runner.sessions)
+            session.heardAt = now;
+        return tick(runner, now);
+    }
+
+    RunnerState runner = makeRunner(RunnerSettings(), 1, 100);
+    Time now { Seconds(100) };
+    bool failLook = false;
+};
+
+std::vector<jobs::RunReport> endsIn(const RunnerActions &actions)
+{
+    std::vector<jobs::RunReport> ends;
+    for (const auto &[session, update] : actions.updates)
+        ends.insert(ends.end(), update.ended.begin(), update.ended.end());
+    return ends;
+}
+
+// [SECTION] Starts
+
+struct StartCase
+{
+    const char *name;
+    std::function<void(Bench &)> prepare;
+    std::int64_t cores;
+    RefusedStart refused;
+};
+
+void PrintTo(const StartCase &tested, std::ostream *out)
+{
+    *out << tested.name;
+}
+
+class Starts : public testing::TestWithParam<StartCase>
+{ };
+
+TEST_P(Starts, AreTakenOnlyIfTheyMay)
+{
+    Bench bench;
+    GetParam().prepare(bench);
+    const RunnerActions actions = bench.start(7, GetParam().cores);
+    const bool taken = GetParam().refused == RefusedStart::None;
+    EXPECT_EQ(actions.starts.size(), taken ? 1U : 0U);
+    const auto ends = endsIn(actions);
+    ASSERT_EQ(ends.size(), taken ? 0U : 1U);
+    if (!taken) {
+        EXPECT_EQ(ends[0].end, RunEnd::NeverBegan);
+        EXPECT_EQ(ends[0].refused, GetParam().refused);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Runner, Starts,
+        testing::Values(
+                StartCase { "Empty", [](Bench &) {}, 4000, RefusedStart::None },
+                StartCase { "TooLarge", [](Bench &) {}, 4001, RefusedStart::NoRoom },
+                StartCase { "Full", [](Bench &b) { b.start(1, 3500); }, 600, RefusedStart::NoRoom },
+                StartCase { "Beside", [](Bench &b) { b.start(1, 3500); }, 500, RefusedStart::None },
+                StartCase { "SameTask", [](Bench &b) { b.start(7, 100); }, 100,
+                            RefusedStart::NotReady },
+                StartCase { "EndpointLeaving",
+                            [](Bench &b) {
+                                EndpointReport report = makeReport("life-1", 2);
+                                report.leaving = true;
+                                endpointHeard(b.runner, report, b.now);
+                            },
+                            100, RefusedStart::Leaving },
+                StartCase { "AgentStopping", [](Bench &b) { beginStop(b.runner, b.now); }, 100,
+                            RefusedStart::Leaving },
+                StartCase { "NotLookedAtYet",
+                            [](Bench &b) { endpointHeard(b.runner, makeReport("life-2", 1), b.now); },
+                            100, RefusedStart::NotReady },
+                StartCase { "OutOfReach",
+                            [](Bench &b) {
+                                b.failLook = true;
+                                for (int i = 0; i < 2; ++i) {
+                                    b.answerLook({});
+                                    b.pass(Milliseconds(100));
+                                }
+                            },
+                            100, RefusedStart::NotReady }),
+        [](const auto &tested) { return tested.param.name; });
+
+TEST(RunnerStarts, RoomIsTakenUntilTheEndIsListed)
+{
+    Bench bench;
+    bench.start(1, 4000);
+    startAnswered(bench.runner, runId(1), { Answer::Ok, bench.clock() }, bench.now);
+    stopRuns(bench.runner, Entry, { { runId(1) } }, bench.now);
+    stopAnswered(bench.runner, runId(1), { Answer::Ok, bench.clock() }, bench.now);
+    EXPECT_EQ(bench.start(2).starts.size(), 0U);
+    Look still;
+    still.running = { { runId(1), 40 } };
+    bench.answerLook(still);
+    EXPECT_EQ(bench.start(3).starts.size(), 0U);
+    Look gone;
+    gone.ended = { { 1, runId(1), RunEnd::Stopped } };
+    const auto ends = endsIn(bench.answerLook(gone));
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].end, RunEnd::Stopped);
+    EXPECT_EQ(bench.start(4).starts.size(), 1U);
+    EXPECT_EQ(bench.runner.lastSeen, 1U);
+}
+
+struct RefusalCase
+{
+    const char *name;
+    Answer answer;
+    RefusedStart refused;
+};
+
+class Refusals : public testing::TestWithParam<RefusalCase>
+{ };
+
+TEST_P(Refusals, OfTheEndpointFreeTheRoom)
+{
+    Bench bench;
+    bench.start(1, 4000);
+    const auto ends = endsIn(
+            startAnswered(bench.runner, runId(1), { GetParam().answer, {} }, bench.now));
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].end, RunEnd::NeverBegan);
+    EXPECT_EQ(ends[0].refused, GetParam().refused);
+    EXPECT_TRUE(bench.runner.runs.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Runner, Refusals,
+        testing::Values(RefusalCase { "Old", Answer::OldRun, RefusedStart::OldRun },
+                        RefusalCase { "Late", Answer::TooLate, RefusedStart::Endpoint },
+                        RefusalCase { "Room", Answer::NoRoom, RefusedStart::NoRoom },
+                        RefusalCase { "Busy", Answer::Busy, RefusedStart::Endpoint },
+                        RefusalCase { "Fenced", Answer::Fenced, RefusedStart::Endpoint },
+                        RefusalCase { "OtherLife", Answer::OtherLife, RefusedStart::Endpoint }),
+        [](const auto &tested) { return tested.param.name; });
+
+TEST(RunnerStarts, AFenceThatIsTooLowIsRaised)
+{
+    Bench bench;
+    bench.start(1);
+    const std::uint64_t before = bench.runner.fence;
+    startAnswered(bench.runner, runId(1), { Answer::Fenced, {} }, bench.now);
+    const std::uint64_t once = bench.runner.fence;
+    EXPECT_GT(once, before);
+    bench.start(2);
+    startAnswered(bench.runner, runId(2), { Answer::Fenced, {} }, bench.now);
+    EXPECT_GT(bench.runner.fence - once, once - before);
+}
+
+// [SECTION] Unanswered orders
+
+TEST(RunnerUnanswered, AStartWithoutAnAnswerIsStoppedAndKeepsItsRoom)
+{
+    Bench bench;
+    bench.start(1, 4000);
+    const RunnerActions stopped =
+            startAnswered(bench.runner, runId(1), { Answer::None, {} }, bench.now);
+    ASSERT_EQ(stopped.stops.size(), 1U);
+    EXPECT_EQ(stopped.stops[0].id, runId(1));
+    // A look that was under way says nothing of what comes after it.
+    bench.answerLook({});
+    EXPECT_EQ(bench.runner.runs.size(), 1U);
+    // The stop is lost as well: it is sent again.
+    stopAnswered(bench.runner, runId(1), { Answer::None, {} }, bench.now);
+    const RunnerActions again = bench.pass(bench.runner.settings.stopRepeat);
+    ASSERT_EQ(again.stops.size(), 1U);
+    // Answered, and the next look does not show it: it can't begin any more.
+    stopAnswered(bench.runner, runId(1), { Answer::Ok, bench.clock() }, bench.now);
+    bench.answerLook({});
+    const auto ends = endsIn(bench.answerLook({}));
+    EXPECT_TRUE(bench.runner.runs.empty());
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].end, RunEnd::NeverBegan);
+}
+
+TEST(RunnerUnanswered, ALookThatShowsTheRunIsAsGoodAsAnAnswer)
+{
+    Bench bench;
+    bench.start(1);
+    Look look;
+    look.running = { { runId(1), 5 } };
+    bench.answerLook(look);
+    EXPECT_TRUE(startAnswered(bench.runner, runId(1), { Answer::None, {} }, bench.now)
+                        .stops.empty());
+    EXPECT_EQ(bench.runner.runs.at(runId(1)).state, RunState::Running);
+}
+
+TEST(RunnerUnanswered, TheLeaseIsLeftToEndWhenAStopIsNotHeard)
+{
+    Bench bench;
+    bench.start(1);
+    startAnswered(bench.runner, runId(1), { Answer::Ok, bench.clock() }, bench.now);
+    RunnerActions actions = bench.answerLook({});
+    ASSERT_TRUE(actions.look);
+    EXPECT_TRUE(actions.look->deadline);
+    stopRuns(bench.runner, Entry, { { runId(1) } }, bench.now);
+    stopAnswered(bench.runner, runId(1), { Answer::None, {} }, bench.now);
+    bench.pass(bench.runner.settings.stopGivenUp);
+    Look look;
+    look.running = { { runId(1), 50 } };
+    actions = bench.answerLook(look);
+    ASSERT_TRUE(actions.look);
+    EXPECT_FALSE(actions.look->deadline);
+    EXPECT_EQ(endsIn(bench.start(2))[0].refused, RefusedStart::NotReady);
+}
+
+// [SECTION] Lives and leases
+
+TEST(RunnerLives, AnotherLifeEndsAllRuns)
+{
+    Bench bench;
+    bench.start(1);
+    bench.start(2);
+    const auto ends = endsIn(endpointHeard(bench.runner, makeReport("life-2", 1), bench.now));
+    ASSERT_EQ(ends.size(), 2U);
+    EXPECT_EQ(ends[0].end, RunEnd::Lost);
+}
+
+TEST(RunnerLives, AnEarlierHeartbeatChangesNothing)
+{
+    Bench bench;
+    EndpointReport leaving = makeReport("life-1", 5);
+    leaving.leaving = true;
+    endpointHeard(bench.runner, leaving, bench.now);
+    endpointHeard(bench.runner, makeReport("life-1", 4), bench.now);
+    EXPECT_TRUE(bench.runner.endpoint.leaving);
+}
+
+TEST(RunnerLives, RunsOfAnEarlierAgentAreStoppedBeforeAnythingStarts)
+{
+    RunnerState runner = makeRunner(RunnerSettings(), 2, 200);
+    const Time now(Seconds(100));
+    endpointHeard(runner, makeReport("life-1", 1), now);
+    Look look;
+    look.answered = { Answer::Ok, Milliseconds(50000) };
+    look.running = { { runId(9), 10 } };
+    RunnerActions actions = lookAnswered(runner, runner.lookNumber, look, now);
+    ASSERT_EQ(actions.stops.size(), 1U);
+    openSession(runner, Entry, "entry-1", now);
+    EXPECT_FALSE(runner.sessions.at(Entry).welcomed);
+    actions = tick(runner, now + runner.settings.lookPause);
+    ASSERT_TRUE(actions.look);
+    look.running.clear();
+    actions = lookAnswered(runner, runner.lookNumber, look, now + Milliseconds(60));
+    EXPECT_EQ(actions.welcomes.size(), 1U);
+}
+
+TEST(RunnerLives, RunsOfAnEndpointOutOfReachLapseOnTheSlowestClock)
+{
+    Bench bench;
+    bench.start(1);
+    startAnswered(bench.runner, runId(1), { Answer::Ok, bench.clock() }, bench.now);
+    bench.answerLook({});
+    const Time renewed = bench.now;
+    bench.failLook = true;
+    std::vector<jobs::RunReport> ends;
+    while (ends.empty() && bench.now < renewed + Seconds(2)) {
+        bench.answerLook({});
+        ends = endsIn(bench.pass(Milliseconds(10)));
+    }
+    const Milliseconds lease = bench.runner.settings.leaseSpan;
+    EXPECT_GT(bench.now, renewed + lease * 100 / 98);
+    EXPECT_LT(bench.now, renewed + lease + Milliseconds(150));
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].end, RunEnd::Lapsed);
+}
+
+// [SECTION] Sessions
+
+TEST(RunnerSessions, ASilentEntrysRunsAreStopped)
+{
+    Bench bench;
+    bench.start(1);
+    bench.now += bench.runner.settings.ownerSilence;
+    const RunnerActions actions = tick(bench.runner, bench.now);
+    EXPECT_EQ(actions.stops.size(), 1U);
+    EXPECT_EQ(actions.closes, std::vector<std::uint64_t> { Entry });
+}
+
+TEST(RunnerSessions, WhatArrivesAfterASilenceIsNotTaken)
+{
+    Bench bench;
+    bench.now += bench.runner.settings.ownerSilence + Milliseconds(1);
+    EXPECT_TRUE(bench.start(1).starts.empty());
+    EXPECT_TRUE(bench.runner.runs.empty());
+}
+
+TEST(RunnerSessions, AnEntryIsWelcomedOnceItsEarlierRunsAreOver)
+{
+    Bench bench;
+    bench.start(1);
+    startAnswered(bench.runner, runId(1), { Answer::Ok, bench.clock() }, bench.now);
+    RunnerActions actions = openSession(bench.runner, 2, "entry-1", bench.now);
+    EXPECT_EQ(actions.stops.size(), 1U);
+    EXPECT_TRUE(actions.welcomes.empty());
+    Look look;
+    look.ended = { { 1, runId(1), RunEnd::Stopped } };
+    actions = bench.answerLook(look);
+    ASSERT_EQ(actions.welcomes.size(), 1U);
+    EXPECT_EQ(actions.welcomes[0].first, 2U);
+}
+
+// [SECTION] Judgement
+
+struct JudgementCase
+{
+    const char *name;
+    std::uint32_t firstPercent;
+    std::uint32_t secondPercent;
+    std::uint32_t thirdPercent;
+    std::size_t lagging;
+    bool slow;
+};
+
+class Judgement : public testing::TestWithParam<JudgementCase>
+{ };
+
+// Three runs with an estimate of 100 ms, seen 100 ms after they began, each of a job of its own.
+TEST_P(Judgement, ComparesProgressWithEstimates)
+{
+    Bench bench;
+    const std::uint32_t percents[] = { GetParam().firstPercent, GetParam().secondPercent,
+                                       GetParam().thirdPercent };
+    Look look;
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        jobs::StartTasks message;
+        message.job = "job-" + std::to_string(i);
+        message.room = { 1000, 10, 0 };
+        message.estimate = Milliseconds(100);
+        message.starts = { { 0, 1 } };
+        startTasks(bench.runner, Entry, message, bench.now);
+        const RunId id { { message.job, 0, 0, 0 }, 1 };
+        startAnswered(bench.runner, id, { Answer::Ok, bench.clock() }, bench.now);
+        look.running.push_back({ id, percents[i] });
+    }
+    bench.pass(Milliseconds(100));
+    const RunnerActions actions = bench.answerLook(look);
+    std::vector<jobs::LagReport> lagging;
+    for (const auto &[session, update] : actions.updates)
+        lagging.insert(lagging.end(), update.lagging.begin(), update.lagging.end());
+    ASSERT_EQ(lagging.size(), GetParam().lagging);
+    for (const jobs::LagReport &report : lagging)
+        EXPECT_EQ(report.endpointSlow, GetParam().slow);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Runner, Judgement,
+        testing::Values(JudgementCase { "OnPace", 95, 80, 50, 0, false },
+                        JudgementCase { "OneEstimateWrong", 95, 80, 10, 1, false },
+                        JudgementCase { "EndpointSlow", 15, 15, 15, 3, true },
+                        JudgementCase { "StandsStill", 95, 0, 80, 1, false },
+                        JudgementCase { "AllStandStill", 0, 0, 0, 3, true }),
+        [](const auto &tested) { return tested.param.name; });
+
+TEST(RunnerJudgement, AnEndpointThatFailsEverythingIsOnTrialAndComesBack)
+{
+    Bench bench;
+    std::uint32_t index = 0;
+    const auto runOne = [&](RunEnd end) {
+        ++index;
+        if (bench.start(index).starts.empty())
+            return false;
+        startAnswered(bench.runner, runId(index), { Answer::Ok, bench.clock() }, bench.now);
+        Look look;
+        look.ended = { { index, runId(index), end } };
+        bench.answerLook(look);
+        return true;
+    };
+    while (runOne(RunEnd::Failed) && index < 20) { }
+    EXPECT_LT(index, 6U);
+    EXPECT_EQ(viewOf(bench.runner, bench.now).mostStarts, 0U);
+    bench.pass(bench.runner.settings.trialRest);
+    EXPECT_EQ(viewOf(bench.runner, bench.now).mostStarts, 1U);
+    EXPECT_TRUE(runOne(RunEnd::Done));
+    EXPECT_GT(viewOf(bench.runner, bench.now).mostStarts, 1U);
+}
+
+} // namespace
+} // namespace foxwing::runner
--- a/tests/fleet/world.cpp
+++ b/tests/fleet/world.cpp
@@ -67,7 +67,6 @@
     runner::RunnerState state;
     std::unique_ptr<FakeEndpoint> endpoint;
     bool dark = false;
-    bool gone = false;
     Time lateUntil {};
     Time cutUntil {};
     std::uint64_t beats = 0;
@@ -369,7 +368,7 @@
 void World::beat(int number)
 {
     Agent &agent = *m_agents[static_cast<std::size_t>(number)];
-    if (!agent.dark && !agent.gone) {
+    if (!agent.dark) {
         runner::EndpointReport report;
         report.life = agent.endpoint->life;
         report.service = "service";
@@ -394,7 +393,9 @@
     if (!agent.dark)
         at(doneAt, [this, number, order, run, back, lost] {
             Agent &here = *m_agents[static_cast<std::size_t>(number)];
-            if (here.dark || here.gone)
+            if (here.dark && !lost)
+                on(here, OrderTimeout, [back] { back({}); });
+            if (here.dark)
                 return;
             const auto result = run(*here.endpoint, order);
             if (!lost)
