Test the fabric, the fleet's settings and groups that manage their members

Cause: the new parts below the decisions had no tests. Change: tables of odd and hostile input at the HTTP listener, of connections and frames, of settings files, of changes of members.

--- a/packages/fabric/tests/http_test.cpp
+++ b/packages/fabric/tests/http_test.cpp
@@ -1,1 +1,243 @@
+/*
+    The HTTP listener and client: limits, slow senders, callers that go, answers that do not come.
+
+    [SECTION] Helpers
+    [SECTION] Server
+    [SECTION] Client
+*/
 #include <gtest/gtest.h>
+
+#include <boost/asio/write.hpp>
+
+#include <foxwing/fabric/httpclient.h>
+
+namespace foxwing::fabric {
+namespace {
+
+// [SECTION] Helpers
+
+constexpr Milliseconds Patience { 5000 };
+
+struct Site
+{
+    explicit Site(HttpLimits limits = {})
+        : server(io, listen(), limits, [this](const ExchangePtr &exchange) {
+            exchanges.push_back(exchange);
+            if (answers)
+                exchange->answer(makeResponse(200, "text/plain", exchange->request().body()));
+        })
+    { }
+
+    asio::ip::tcp::acceptor listen()
+    {
+        asio::ip::tcp::acceptor acceptor(io, Endpoint(asio::ip::make_address_v4("127.0.0.1"), 0));
+        address = toString(acceptor.local_endpoint());
+        return acceptor;
+    }
+
+    template<class Condition>
+    bool until(Condition condition, Milliseconds patience = Patience)
+    {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            io.run_one_for(Milliseconds(5));
+        return condition();
+    }
+
+    // What the server sends for this, up to its closing or a whole answer.
+    std::string exchangeText(const std::string &sent, Milliseconds patience = Patience)
+    {
+        Socket socket(io);
+        socket.connect(*parseEndpoint(address, nullptr));
+        asio::write(socket, asio::buffer(sent));
+        std::string got;
+        std::array<char, 4096> part {};
+        bool ended = false;
+        std::function<void()> readMore = [&] {
+            socket.async_read_some(asio::buffer(part),
+                                   [&](boost::system::error_code wrong, std::size_t count) {
+                                       got.append(part.data(), count);
+                                       ended = bool(wrong);
+                                       if (!wrong)
+                                           readMore();
+                                   });
+        };
+        readMore();
+        until([&] { return ended || got.find("\r\n\r\n") != std::string::npos; }, patience);
+        closed = ended;
+        boost::system::error_code ignored;
+        socket.close(ignored);
+        until([&] { return ended; }, Milliseconds(100));
+        return got;
+    }
+
+    asio::io_context io { 1 };
+    std::string address;
+    bool answers = true;
+    bool closed = false;
+    std::vector<ExchangePtr> exchanges;
+    HttpServer server;
+};
+
+// [SECTION] Server
+
+struct InputCase
+{
+    const char *name;
+    std::string sent;
+
+    // The beginning of the answer; empty if the connection is closed without one.
+    const char *answer;
+};
+
+class Input : public testing::TestWithParam<InputCase>
+{ };
+
+TEST_P(Input, HasADefinedAnswer)
+{
+    HttpLimits limits;
+    limits.headerBytes = 1000;
+    limits.bodyBytes = 1000;
+    limits.headerTimeout = Milliseconds(150);
+    limits.idleTimeout = Milliseconds(150);
+    Site site(limits);
+    const std::string got = site.exchangeText(GetParam().sent);
+    EXPECT_EQ(got.substr(0, std::string(GetParam().answer).size()), GetParam().answer);
+    if (*GetParam().answer == '\0') {
+        EXPECT_TRUE(site.closed);
+    }
+    EXPECT_EQ(site.server.underWay(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Fabric, Input,
+        testing::Values(
+                InputCase { "Whole", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi",
+                            "HTTP/1.1 200" },
+                InputCase { "NoHttp", "\x01\x02\x03\r\n\r\n", "HTTP/1.1 400" },
+                InputCase { "LongHeader",
+                            "GET / HTTP/1.1\r\nA: " + std::string(2000, 'a') + "\r\n\r\n",
+                            "HTTP/1.1 431" },
+                InputCase { "LongBody", "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n",
+                            "HTTP/1.1 413" },
+                InputCase { "SlowHeader", "GET / HTTP/1.1\r\nHost:", "" },
+                InputCase { "SlowBody", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhal", "" },
+                InputCase { "Nothing", "", "" },
+                InputCase { "LengthOfText", "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+                            "HTTP/1.1 400" }),
+        [](const auto &tested) { return tested.param.name; });
+
+TEST(FabricHttpServer, TellsThatACallerHasGone)
+{
+    Site site;
+    site.answers = false;
+    Socket socket(site.io);
+    socket.connect(*parseEndpoint(site.address, nullptr));
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    ASSERT_TRUE(site.until([&] { return site.exchanges.size() == 1; }));
+    bool gone = false;
+    site.exchanges[0]->onGone([&] { gone = true; });
+    EXPECT_EQ(site.server.underWay(), 1U);
+    socket.close();
+    EXPECT_TRUE(site.until([&] { return gone; }));
+    EXPECT_EQ(site.server.underWay(), 0U);
+    // Nobody is there to take it; it must do no harm.
+    site.exchanges[0]->answer(makeResponse(200, "text/plain", ""));
+}
+
+TEST(FabricHttpServer, AnswersWhatIsUnderWayWhenItStopsAccepting)
+{
+    Site site;
+    site.answers = false;
+    HttpClient client(site.io, site.address, {});
+    std::optional<CallResult> result;
+    client.call(Request(http::verb::get, "/", 11), Patience,
+                [&](CallResult got) { result = std::move(got); });
+    ASSERT_TRUE(site.until([&] { return site.exchanges.size() == 1; }));
+    site.server.closeAfterAnswers();
+    site.server.stopAccepting();
+    site.exchanges[0]->answer(makeResponse(200, "text/plain", "late"));
+    ASSERT_TRUE(site.until([&] { return result.has_value(); }));
+    ASSERT_TRUE(result->response);
+    EXPECT_EQ(result->response->body(), "late");
+    EXPECT_FALSE(result->response->keep_alive());
+    EXPECT_TRUE(site.until([&] { return site.server.connections() == 0; }));
+}
+
+// [SECTION] Client
+
+TEST(FabricHttpClient, KeepsItsConnections)
+{
+    Site site;
+    HttpClient client(site.io, site.address, {});
+    int done = 0;
+    std::function<void()> next = [&] {
+        Request request(http::verb::post, "/", 11);
+        request.body() = std::to_string(done);
+        client.call(std::move(request), Patience, [&](const CallResult &result) {
+            ASSERT_TRUE(result.response);
+            EXPECT_EQ(result.response->body(), std::to_string(done));
+            if (++done < 20)
+                next();
+        });
+    };
+    next();
+    ASSERT_TRUE(site.until([&] { return done == 20; }));
+    EXPECT_LE(client.opened(), 2U);
+}
+
+struct FailureCase
+{
+    const char *name;
+    bool listens;
+    CallFailure failure;
+};
+
+class Failures : public testing::TestWithParam<FailureCase>
+{ };
+
+TEST_P(Failures, AreToldApart)
+{
+    Site site;
+    site.answers = false;
+    std::string address = site.address;
+    if (!GetParam().listens) {
+        asio::ip::tcp::acceptor free(site.io, Endpoint(asio::ip::make_address_v4("127.0.0.1"), 0));
+        address = toString(free.local_endpoint());
+    }
+    HttpClient client(site.io, address, {});
+    std::optional<CallFailure> failure;
+    client.call(Request(http::verb::get, "/", 11), Milliseconds(100),
+                [&](const CallResult &result) { failure = result.failure; });
+    ASSERT_TRUE(site.until([&] { return failure.has_value(); }));
+    EXPECT_EQ(*failure, GetParam().failure);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fabric, Failures,
+                         testing::Values(FailureCase { "NobodyListens", false,
+                                                       CallFailure::Refused },
+                                         FailureCase { "NoAnswer", true, CallFailure::NoAnswer }),
+                         [](const auto &tested) { return tested.param.name; });
+
+TEST(FabricHttpClient, CallsBeyondTheConnectionsWait)
+{
+    Site site;
+    site.answers = false;
+    HttpClientSettings settings;
+    settings.mostConnections = 2;
+    HttpClient client(site.io, site.address, settings);
+    int answered = 0;
+    for (int i = 0; i < 5; ++i)
+        client.call(Request(http::verb::get, "/", 11), Patience,
+                    [&](const CallResult &result) { answered += result.response ? 1 : 0; });
+    ASSERT_TRUE(site.until([&] { return site.exchanges.size() == 2; }));
+    EXPECT_FALSE(site.until([&] { return site.exchanges.size() > 2; }, Milliseconds(50)));
+    for (std::size_t i = 0; i < 5; ++i) {
+        ASSERT_TRUE(site.until([&] { return site.exchanges.size() > i; }));
+        site.exchanges[i]->answer(makeResponse(200, "text/plain", ""));
+    }
+    EXPECT_TRUE(site.until([&] { return answered == 5; }));
+}
+
+} // namespace
+} // namespace foxwing::fabric
--- a/packages/fabric/tests/link_test.cpp
+++ b/packages/fabric/tests/link_test.cpp
@@ -1,1 +1,152 @@
+/*
+    Addresses, frames over kept connections, and what ends a connection.
+
+    [SECTION] Addresses
+    [SECTION] Links
+*/
 #include <gtest/gtest.h>
+
+#include <boost/asio/write.hpp>
+
+#include <foxwing/fabric/link.h>
+
+namespace foxwing::fabric {
+namespace {
+
+// [SECTION] Addresses
+
+struct AddressCase
+{
+    const char *name;
+    const char *text;
+    bool good;
+};
+
+class Addresses : public testing::TestWithParam<AddressCase>
+{ };
+
+TEST_P(Addresses, AreIpNumbersWithPorts)
+{
+    Error reason;
+    const auto endpoint = parseEndpoint(GetParam().text, &reason);
+    EXPECT_EQ(endpoint.has_value(), GetParam().good);
+    EXPECT_EQ(reason.message.empty(), GetParam().good);
+    if (endpoint) {
+        EXPECT_EQ(toString(*endpoint), GetParam().text);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Fabric, Addresses,
+                         testing::Values(AddressCase { "Good", "10.0.0.4:7100", true },
+                                         AddressCase { "NoPort", "10.0.0.4", false },
+                                         AddressCase { "PortZero", "10.0.0.4:0", false },
+                                         AddressCase { "PortTooLarge", "10.0.0.4:65536", false },
+                                         AddressCase { "PortOfText", "10.0.0.4:http", false },
+                                         AddressCase { "Name", "localhost:7100", false },
+                                         AddressCase { "Empty", "", false }),
+                         [](const auto &tested) { return tested.param.name; });
+
+// [SECTION] Links
+
+constexpr Milliseconds Patience { 5000 };
+
+asio::ip::tcp::acceptor anyPort(asio::io_context &io)
+{
+    return asio::ip::tcp::acceptor(io, Endpoint(asio::ip::make_address_v4("127.0.0.1"), 0));
+}
+
+struct Pair
+{
+    Pair(LinkLimits limits = {})
+        : acceptor(anyPort(io))
+        , address(toString(acceptor.local_endpoint()))
+        , listener(io, std::move(acceptor), limits,
+                   [this](const std::shared_ptr<Link> &link) { accepted = link; })
+    { }
+
+    // Runs the loop until something holds, or patience ends.
+    template<class Condition>
+    bool until(Condition condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + Patience;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            io.run_one_for(Milliseconds(20));
+        return condition();
+    }
+
+    asio::io_context io { 1 };
+    asio::ip::tcp::acceptor acceptor;
+    std::string address;
+    std::shared_ptr<Link> accepted;
+    Listener listener;
+};
+
+TEST(FabricLink, CarriesFramesOfAnySizeInOrder)
+{
+    Pair pair;
+    std::shared_ptr<Link> dialled;
+    Dialer dialer(pair.io, pair.address, {},
+                  [&](const std::shared_ptr<Link> &link) { dialled = link; });
+    ASSERT_TRUE(pair.until([&] { return dialled && pair.accepted; }));
+    std::vector<std::string> received;
+    pair.accepted->start([&](std::string_view frame) { received.emplace_back(frame); }, [] {});
+    dialled->start([](std::string_view) {}, [] {});
+    const std::vector<std::string> sent { "", "a", std::string(100000, 'b'), "c",
+                                          std::string(3000000, 'd') };
+    for (const std::string &frame : sent)
+        dialled->send(frame);
+    ASSERT_TRUE(pair.until([&] { return received.size() == sent.size(); }));
+    EXPECT_EQ(received, sent);
+}
+
+TEST(FabricLink, EndsAtAFrameThatIsTooLong)
+{
+    LinkLimits limits;
+    limits.mostFrameBytes = 100;
+    Pair pair(limits);
+    Socket socket(pair.io);
+    socket.connect(*parseEndpoint(pair.address, nullptr));
+    ASSERT_TRUE(pair.until([&] { return pair.accepted != nullptr; }));
+    bool closed = false;
+    pair.accepted->start([](std::string_view) { FAIL(); }, [&] { closed = true; });
+    asio::write(socket, asio::buffer("\xff\xff\xff\x7fxxxx", 8));
+    EXPECT_TRUE(pair.until([&] { return closed; }));
+}
+
+TEST(FabricLink, CutsAPeerThatDoesNotRead)
+{
+    Pair pair;
+    std::shared_ptr<Link> dialled;
+    DialerSettings settings;
+    settings.limits.mostQueuedBytes = 1U << 20U;
+    Dialer dialer(pair.io, pair.address, settings,
+                  [&](const std::shared_ptr<Link> &link) { dialled = link; });
+    ASSERT_TRUE(pair.until([&] { return dialled && pair.accepted; }));
+    bool closed = false;
+    dialled->start([](std::string_view) {}, [&] { closed = true; });
+    for (int i = 0; i < 40 && dialled->open(); ++i) {
+        dialled->send(std::string(1U << 19U, 'x'));
+        pair.io.run_one_for(Milliseconds(1));
+    }
+    EXPECT_FALSE(dialled->open());
+    EXPECT_TRUE(pair.until([&] { return closed; }));
+}
+
+TEST(FabricDialer, DialsAgainWhenTheConnectionIsLost)
+{
+    Pair pair;
+    int connections = 0;
+    std::shared_ptr<Link> dialled;
+    Dialer dialer(pair.io, pair.address, {}, [&](const std::shared_ptr<Link> &link) {
+        ++connections;
+        dialled = link;
+        link->start([](std::string_view) {}, [&] { dialer.lost(); });
+    });
+    ASSERT_TRUE(pair.until([&] { return connections == 1 && pair.accepted; }));
+    pair.accepted->start([](std::string_view) {}, [] {});
+    pair.accepted->close();
+    EXPECT_TRUE(pair.until([&] { return connections == 2; }));
+}
+
+} // namespace
+} // namespace foxwing::fabric
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -1,1 +1,118 @@
+/*
+    Which settings files are taken, and how bounds follow from them.
+
+    [SECTION] Tests
+*/
 #include <gtest/gtest.h>
+
+#include <foxwing/fleet/settings.h>
+
+namespace foxwing::fleet {
+namespace {
+
+// [SECTION] Tests
+
+const std::string Good = R"(
+[node]
+name = "front-1"
+role = "entry"
+data_centre = "oviedo"
+ip = "10.1.0.13"
+
+[cluster]
+inner_port = 7720
+seeds = ["10.1.0.17:8166","10.2.0.34:8166"]
+first_start = true
+
+[listen]
+metrics = "10.1.0.13:9464"
+callers = "10.1.0.13:8161"
+readiness = "10.1.0.13:8167"
+
+[timing]
+stop_grace_seconds = 6
+resend_after_milliseconds = 1300
+)";
+
+TEST(FleetSettingsFile, IsRead)
+{
+    Error reason;
+    const auto settings = parseFleetSettings(Good, "node.toml", &reason);
+    ASSERT_TRUE(settings) << reason.message;
+    EXPECT_EQ(settings->role, directory::Role::Entry);
+    EXPECT_TRUE(settings->firstStart);
+    EXPECT_EQ(innerAddress(*settings), "10.1.0.13:7720");
+    EXPECT_EQ(seedAddresses(*settings),
+              (std::vector<std::string> { "10.1.0.17:7720", "10.2.0.34:7720" }));
+    EXPECT_EQ(settings->stopGrace, Milliseconds(6000));
+}
+
+struct BadCase
+{
+    const char *name;
+    std::string from;
+    std::string to;
+    const char *reason;
+};
+
+class Bad : public testing::TestWithParam<BadCase>
+{ };
+
+TEST_P(Bad, IsRefusedWithTheKey)
+{
+    std::string text = Good;
+    const std::size_t at = text.find(GetParam().from);
+    ASSERT_NE(at, std::string::npos);
+    text.replace(at, GetParam().from.size(), GetParam().to);
+    Error reason;
+    EXPECT_FALSE(parseFleetSettings(text, "node.toml", &reason));
+    EXPECT_NE(reason.message.find(GetParam().reason), std::string::npos) << reason.message;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Fleet, Bad,
+        testing::Values(
+                BadCase { "Role", "\"entry\"", "\"boss\"", "role" },
+                BadCase { "NoName", "\"front-1\"", "\"\"", "name" },
+                BadCase { "NoSeeds", R"(["10.1.0.17:8166","10.2.0.34:8166"])", "[]", "seeds" },
+                BadCase { "Port", "7720", "77200", "inner_port" },
+                BadCase { "NoCallers", "callers = \"10.1.0.13:8161\"", "", "callers" },
+                BadCase { "UnknownKey", "first_start = true", "first = true", "first" },
+                BadCase { "AgentWithoutEndpoint", "\"entry\"", "\"agent\"", "control" },
+                BadCase { "ControlWithoutFolder", "\"entry\"", "\"control\"", "data_folder" },
+                BadCase { "Grace", "= 6", "= \"long\"", "stop_grace" }),
+        [](const auto &tested) { return tested.param.name; });
+
+struct ResendCase
+{
+    const char *name;
+    int resendMilliseconds;
+};
+
+class Resend : public testing::TestWithParam<ResendCase>
+{ };
+
+// Whatever the resend time, a run is certainly over before its caller sends the job again, and an
+// agent's part of that span covers its silence bound and its endpoint's lease.
+TEST_P(Resend, BoundsFit)
+{
+    std::string text = Good;
+    text.replace(text.find("1300"), 4, std::to_string(GetParam().resendMilliseconds));
+    Error reason;
+    const auto settings = parseFleetSettings(text, "node.toml", &reason);
+    ASSERT_TRUE(settings) << reason.message;
+    const auto &entry = settings->scheduler;
+    const auto &agent = settings->runner;
+    EXPECT_LT(entry.certainSilence, Milliseconds(GetParam().resendMilliseconds));
+    EXPECT_LT(agent.ownerSilence + agent.leaseSpan * 102 / 100, entry.certainSilence);
+    EXPECT_LT(entry.agentSilence, agent.ownerSilence);
+    EXPECT_LT(entry.beatInterval * 2, agent.ownerSilence);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleet, Resend,
+                         testing::Values(ResendCase { "Usual", 1300 }, ResendCase { "Short", 900 },
+                                         ResendCase { "Long", 5000 }),
+                         [](const auto &tested) { return tested.param.name; });
+
+} // namespace
+} // namespace foxwing::fleet
--- /dev/null
+++ b/packages/quorum/tests/members_test.cpp
@@ -0,0 +1,148 @@
+/*
+    How a self-managed group brings hosts in and lets them go.
+
+    [SECTION] Tests
+*/
+#include <gtest/gtest.h>
+
+#include <foxwing/quorum/quorum.h>
+
+namespace foxwing::quorum {
+namespace {
+
+// [SECTION] Tests
+
+const Time Now { Seconds(100) };
+
+// A leader of the given voters that has committed everything, with all of them heard just now.
+QuorumState makeLeader(const std::vector<std::string> &voters,
+                       const std::vector<std::string> &learners = {})
+{
+    QuorumSettings settings;
+    settings.self = voters[0];
+    settings.selfManaged = true;
+    QuorumState quorum = makeQuorum(settings, {}, Now);
+    quorum.role = Role::Leader;
+    quorum.members = { voters, learners };
+    quorum.commit = 5;
+    quorum.termStart = 5;
+    for (const std::string &id : voters)
+        quorum.peers[id].heardAt = Now;
+    for (const std::string &id : learners) {
+        quorum.peers[id].heardAt = Now;
+        quorum.peers[id].match = 5;
+    }
+    return quorum;
+}
+
+std::vector<Candidate> candidates(const std::vector<std::string> &ids)
+{
+    std::vector<Candidate> made;
+    for (const std::string &id : ids)
+        made.push_back({ id, id.substr(0, id.find('/')) });
+    return made;
+}
+
+struct AdviceCase
+{
+    const char *name;
+    std::vector<std::string> voters;
+    std::vector<std::string> learners;
+    std::vector<std::string> present;
+    std::vector<std::string> votersThen;
+    std::vector<std::string> learnersThen;
+};
+
+void PrintTo(const AdviceCase &tested, std::ostream *out)
+{
+    *out << tested.name;
+}
+
+class Advice : public testing::TestWithParam<AdviceCase>
+{ };
+
+TEST_P(Advice, IsTheNextChange)
+{
+    const QuorumState quorum = makeLeader(GetParam().voters, GetParam().learners);
+    const auto members = adviseMembers(quorum, candidates(GetParam().present), Now);
+    ASSERT_EQ(members.has_value(), !GetParam().votersThen.empty());
+    if (!members)
+        return;
+    EXPECT_EQ(members->voters, GetParam().votersThen);
+    EXPECT_EQ(members->learners, GetParam().learnersThen);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Quorum, Advice,
+        testing::Values(
+                AdviceCase { "AllThere", { "a/1", "b/1", "c/1" }, {}, { "b/1", "c/1" }, {}, {} },
+                AdviceCase { "NewHostLearns",
+                             { "a/1", "b/1", "c/1" },
+                             {},
+                             { "b/1", "c/1", "d/1" },
+                             { "a/1", "b/1", "c/1" },
+                             { "d/1" } },
+                AdviceCase { "LearnerVotes",
+                             { "a/1", "b/1", "c/1" },
+                             { "d/1" },
+                             { "d/1" },
+                             { "a/1", "b/1", "c/1", "d/1" },
+                             {} },
+                AdviceCase {
+                        "LearnerThatIsAwayWaits", { "a/1", "b/1", "c/1" }, { "d/1" }, {}, {}, {} },
+                AdviceCase { "LostDiskGoesFirst",
+                             { "a/1", "b/1", "c/1" },
+                             {},
+                             { "b/1", "c/2" },
+                             { "a/1", "b/1" },
+                             {} },
+                AdviceCase { "LostDiskOfALearner",
+                             { "a/1", "b/1", "c/1" },
+                             { "d/1" },
+                             { "d/2" },
+                             { "a/1", "b/1", "c/1" },
+                             {} }),
+        [](const auto &tested) { return tested.param.name; });
+
+struct SilenceCase
+{
+    const char *name;
+    std::size_t voters;
+    Milliseconds silent;
+    bool removed;
+};
+
+class Silence : public testing::TestWithParam<SilenceCase>
+{ };
+
+TEST_P(Silence, RemovesAVoterOnlyIfEnoughAreLeft)
+{
+    std::vector<std::string> voters;
+    for (std::size_t i = 0; i < GetParam().voters; ++i)
+        voters.push_back(std::string(1, static_cast<char>('a' + i)) + "/1");
+    QuorumState quorum = makeLeader(voters);
+    const Time later = Now + GetParam().silent;
+    for (auto &[id, peer] : quorum.peers)
+        peer.heardAt = id == "b/1" ? Now : later;
+    EXPECT_EQ(adviseMembers(quorum, {}, later).has_value(), GetParam().removed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Quorum, Silence,
+                         testing::Values(SilenceCase { "Five", 5, Seconds(60), false },
+                                         SilenceCase { "SixForLong", 6, Seconds(60), true },
+                                         SilenceCase { "SixForAMoment", 6, Seconds(2), false }),
+                         [](const auto &tested) { return tested.param.name; });
+
+TEST(QuorumMembers, NothingChangesWhileAChangeIsUnderWayOrElsewhere)
+{
+    QuorumState quorum = makeLeader({ "a/1", "b/1", "c/1" });
+    quorum.membersIndex = 6;
+    EXPECT_FALSE(adviseMembers(quorum, candidates({ "d/1" }), Now));
+    quorum.membersIndex = 5;
+    EXPECT_TRUE(adviseMembers(quorum, candidates({ "d/1" }), Now));
+    quorum.role = Role::Follower;
+    EXPECT_FALSE(adviseMembers(quorum, candidates({ "d/1" }), Now));
+}
+
+} // namespace
+} // namespace foxwing::quorum
--- a/packages/runner/tests/runner_test.cpp
+++ b/packages/runner/tests/runner_test.cpp
@@ -147,9 +147,10 @@
                             100, RefusedStart::Leaving },
                 StartCase { "AgentStopping", [](Bench &b) { beginStop(b.runner, b.now); }, 100,
                             RefusedStart::Leaving },
-                StartCase { "NotLookedAtYet",
-                            [](Bench &b) { endpointHeard(b.runner, makeReport("life-2", 1), b.now); },
-                            100, RefusedStart::NotReady },
+                StartCase {
+                        "NotLookedAtYet",
+                        [](Bench &b) { endpointHeard(b.runner, makeReport("life-2", 1), b.now); },
+                        100, RefusedStart::NotReady },
                 StartCase { "OutOfReach",
                             [](Bench &b) {
                                 b.failLook = true;
@@ -233,8 +234,8 @@
 {
     Bench bench;
     bench.start(1, 4000);
-    const RunnerActions stopped =
-            startAnswered(bench.runner, runId(1), { Answer::None, {} }, bench.now);
+    const RunnerActions stopped = startAnswered(bench.runner, runId(1), { Answer::None, {} },
+                                                bench.now);
     ASSERT_EQ(stopped.stops.size(), 1U);
     EXPECT_EQ(stopped.stops[0].id, runId(1));
     // A look that was under way says nothing of what comes after it.
@@ -260,8 +261,8 @@
     Look look;
     look.running = { { runId(1), 5 } };
     bench.answerLook(look);
-    EXPECT_TRUE(startAnswered(bench.runner, runId(1), { Answer::None, {} }, bench.now)
-                        .stops.empty());
+    EXPECT_TRUE(
+            startAnswered(bench.runner, runId(1), { Answer::None, {} }, bench.now).stops.empty());
     EXPECT_EQ(bench.runner.runs.at(runId(1)).state, RunState::Running);
 }
 
@@ -421,14 +422,13 @@
         EXPECT_EQ(report.endpointSlow, GetParam().slow);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-        Runner, Judgement,
-        testing::Values(JudgementCase { "OnPace", 95, 80, 50, 0, false },
-                        JudgementCase { "OneEstimateWrong", 95, 80, 10, 1, false },
-                        JudgementCase { "EndpointSlow", 15, 15, 15, 3, true },
-                        JudgementCase { "StandsStill", 95, 0, 80, 1, false },
-                        JudgementCase { "AllStandStill", 0, 0, 0, 3, true }),
-        [](const auto &tested) { return tested.param.name; });
+INSTANTIATE_TEST_SUITE_P(Runner, Judgement,
+                         testing::Values(JudgementCase { "OnPace", 95, 80, 50, 0, false },
+                                         JudgementCase { "OneEstimateWrong", 95, 80, 10, 1, false },
+                                         JudgementCase { "EndpointSlow", 15, 15, 15, 3, true },
+                                         JudgementCase { "StandsStill", 95, 0, 80, 1, false },
+                                         JudgementCase { "AllStandStill", 0, 0, 0, 3, true }),
+                         [](const auto &tested) { return tested.param.name; });
 
 TEST(RunnerJudgement, AnEndpointThatFailsEverythingIsOnTrialAndComesBack)
 {
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -167,11 +167,11 @@
                 AdmissionCase { "BestEffort", { false, false, false, false }, 1000, {} },
                 AdmissionCase { "Kept", { true, false, false, false }, 1000, JobOutcome::NotRun },
                 AdmissionCase { "Gang", { false, true, false, false }, 1000, JobOutcome::NotRun },
-                AdmissionCase { "Lasting", { false, false, true, false }, 1000,
-                                JobOutcome::NotRun },
+                AdmissionCase {
+                        "Lasting", { false, false, true, false }, 1000, JobOutcome::NotRun },
                 AdmissionCase { "Timed", { false, false, false, true }, 1000, JobOutcome::NotRun },
-                AdmissionCase { "FitsNowhere", { false, false, false, false }, 5000,
-                                JobOutcome::Failed }),
+                AdmissionCase {
+                        "FitsNowhere", { false, false, false, false }, 5000, JobOutcome::Failed }),
         [](const auto &tested) { return tested.param.name; });
 
 TEST(SchedulerAdmission, RefusesWhatWouldWaitTooLong)
@@ -262,17 +262,14 @@
 
 INSTANTIATE_TEST_SUITE_P(
         Scheduler, Suits,
-        testing::Values(SuitCase { "All", [](jobs::EndpointView &) {}, true },
-                        SuitCase { "OtherService",
-                                   [](jobs::EndpointView &v) { v.service = "tag"; }, false },
-                        SuitCase { "NoLabel", [](jobs::EndpointView &v) { v.labels = { "a" }; },
-                                   false },
-                        SuitCase { "Leaving", [](jobs::EndpointView &v) { v.leaving = true; },
-                                   false },
-                        SuitCase { "OnTrial", [](jobs::EndpointView &v) { v.mostStarts = 0; },
-                                   false },
-                        SuitCase { "Full", [](jobs::EndpointView &v) { v.free.milliCores = 999; },
-                                   false }),
+        testing::Values(
+                SuitCase { "All", [](jobs::EndpointView &) {}, true },
+                SuitCase { "OtherService", [](jobs::EndpointView &v) { v.service = "tag"; },
+                           false },
+                SuitCase { "NoLabel", [](jobs::EndpointView &v) { v.labels = { "a" }; }, false },
+                SuitCase { "Leaving", [](jobs::EndpointView &v) { v.leaving = true; }, false },
+                SuitCase { "OnTrial", [](jobs::EndpointView &v) { v.mostStarts = 0; }, false },
+                SuitCase { "Full", [](jobs::EndpointView &v) { v.free.milliCores = 999; }, false }),
         [](const auto &tested) { return tested.param.name; });
 
 TEST(SchedulerPlacing, KeepsTheLimitOfTasksOnOneEndpoint)
@@ -319,8 +316,9 @@
 {
     Bench bench({ 4000 });
     bench.submit("job", 1);
-    const SchedulerActions actions =
-            bench.report("agent-0", { endOf("job", 0, 1, GetParam().end, GetParam().refused) });
+    const SchedulerActions actions = bench.report("agent-0",
+                                                  { endOf("job", 0, 1, GetParam().end,
+                                                          GetParam().refused) });
     EXPECT_EQ(startsIn(actions), GetParam().startsAgain);
     ASSERT_EQ(actions.answers.size(), GetParam().outcome ? 1U : 0U);
     if (GetParam().outcome) {
@@ -331,13 +329,13 @@
 
 INSTANTIATE_TEST_SUITE_P(
         Scheduler, Ends,
-        testing::Values(
-                EndCase { "Done", RunEnd::Done, RefusedStart::None, 0, JobOutcome::Completed },
-                EndCase { "FailedOnce", RunEnd::Failed, RefusedStart::None, 1, {} },
-                EndCase { "Lapsed", RunEnd::Lapsed, RefusedStart::None, 1, {} },
-                EndCase { "Lost", RunEnd::Lost, RefusedStart::None, 1, {} },
-                EndCase { "NoRoom", RunEnd::NeverBegan, RefusedStart::NoRoom, 1, {} },
-                EndCase { "OldRun", RunEnd::NeverBegan, RefusedStart::OldRun, 1, {} }),
+        testing::Values(EndCase { "Done", RunEnd::Done, RefusedStart::None, 0,
+                                  JobOutcome::Completed },
+                        EndCase { "FailedOnce", RunEnd::Failed, RefusedStart::None, 1, {} },
+                        EndCase { "Lapsed", RunEnd::Lapsed, RefusedStart::None, 1, {} },
+                        EndCase { "Lost", RunEnd::Lost, RefusedStart::None, 1, {} },
+                        EndCase { "NoRoom", RunEnd::NeverBegan, RefusedStart::NoRoom, 1, {} },
+                        EndCase { "OldRun", RunEnd::NeverBegan, RefusedStart::OldRun, 1, {} }),
         [](const auto &tested) { return tested.param.name; });
 
 TEST(SchedulerEnds, ATaskThatFailsAsOftenAsItMayFailsItsJobAndStopsTheRest)
@@ -345,8 +343,8 @@
     Bench bench({ 8000 });
     bench.submit("job", 3);
     bench.report("agent-0", { endOf("job", 1, 1, RunEnd::Failed) });
-    const SchedulerActions actions =
-            bench.report("agent-0", { endOf("job", 1, 2, RunEnd::Failed) });
+    const SchedulerActions actions = bench.report("agent-0",
+                                                  { endOf("job", 1, 2, RunEnd::Failed) });
     ASSERT_EQ(actions.answers.size(), 1U);
     EXPECT_EQ(actions.answers[0].outcome, JobOutcome::Failed);
     EXPECT_EQ(stopsIn(actions), 2U);
@@ -466,10 +464,9 @@
     jobs::AgentUpdate update;
     update.startsTaken = 1;
     update.mostStarts = 1000;
-    update.lagging = { { { { "job", 0, 0, 0 }, 1 },
-                         GetParam().left,
-                         GetParam().still,
-                         GetParam().slow } };
+    update.lagging = {
+        { { { "job", 0, 0, 0 }, 1 }, GetParam().left, GetParam().still, GetParam().slow }
+    };
     const SchedulerActions actions = agentUpdated(bench.scheduler, agent, update, bench.now);
     EXPECT_EQ(stopsIn(actions), GetParam().moved ? 1U : 0U);
 }
@@ -510,8 +507,8 @@
     bench.now += Milliseconds(5);
     step.estimate = Milliseconds(50);
     bench.submit("urgent", { step });
-    const SchedulerActions actions =
-            bench.report("agent-0", { endOf("running", 0, 1, RunEnd::Done) }, 1000);
+    const SchedulerActions actions = bench.report("agent-0",
+                                                  { endOf("running", 0, 1, RunEnd::Done) }, 1000);
     ASSERT_EQ(startsIn(actions), 1U);
     EXPECT_EQ(std::get<jobs::StartTasks>(actions.sends.at(0).message).job, GetParam().first);
 }
@@ -531,8 +528,8 @@
     bench.submit("begun", { step });
     step.estimate = Milliseconds(20);
     bench.submit("urgent", { step });
-    const SchedulerActions actions =
-            bench.report("agent-0", { endOf("begun", 0, 1, RunEnd::Done) }, 1000);
+    const SchedulerActions actions = bench.report("agent-0", { endOf("begun", 0, 1, RunEnd::Done) },
+                                                  1000);
     ASSERT_EQ(startsIn(actions), 1U);
     EXPECT_EQ(std::get<jobs::StartTasks>(actions.sends.at(0).message).job, "begun");
 }
