Keep a request until its write is over; tell no room that would be refused

A call that was given up freed its request while the connection still wrote it; the address sanitizer shows it in the new test with the old code. Ruled out: exceptions (nothing on standard error).

--- a/packages/fabric/include/foxwing/fabric/link.h
+++ b/packages/fabric/include/foxwing/fabric/link.h
@@ -109,7 +109,8 @@
     Milliseconds connectTimeout { 500 };
 
     // Between tries; doubles up to the longest. Hosts that start together must find each other
-    // within the time that an election takes, and a try at a host that is down costs next to nothing.
+    // within the time that an election takes, and a try at a host that is down costs next to
+    // nothing.
     Milliseconds firstPause { 20 };
     Milliseconds longestPause { 100 };
     LinkLimits limits;
--- a/packages/fabric/src/httpclient.cpp
+++ b/packages/fabric/src/httpclient.cpp
@@ -121,9 +121,11 @@
 
     void write()
     {
-        http::async_write(m_socket, m_call->request,
-                          [self = shared_from_this()](boost::system::error_code wrong,
-                                                      std::size_t) {
+        // The request outlives its call: a call that is given up ends before its write does.
+        const auto request = std::make_shared<Request>(std::move(m_call->request));
+        http::async_write(m_socket, *request,
+                          [self = shared_from_this(), request](boost::system::error_code wrong,
+                                                               std::size_t) {
                               if (!self->m_call)
                                   return;
                               if (wrong)
--- a/packages/fabric/tests/http_test.cpp
+++ b/packages/fabric/tests/http_test.cpp
@@ -219,6 +219,23 @@
                                          FailureCase { "NoAnswer", true, CallFailure::NoAnswer }),
                          [](const auto &tested) { return tested.param.name; });
 
+// The connection must not touch the request of a call that has ended.
+TEST(FabricHttpClient, ACallMayEndWhileItsRequestIsBeingWritten)
+{
+    Site site;
+    site.answers = false;
+    HttpClient client(site.io, site.address, {});
+    int ended = 0;
+    for (int i = 0; i < 40; ++i) {
+        Request request(http::verb::post, "/", 11);
+        request.body() = std::string(2U << 20U, 'x');
+        client.call(std::move(request), Milliseconds(1 + i % 7),
+                    [&](const CallResult &) { ++ended; });
+    }
+    EXPECT_TRUE(site.until([&] { return ended == 40; }));
+    site.until([] { return false; }, Milliseconds(50));
+}
+
 TEST(FabricHttpClient, CallsBeyondTheConnectionsWait)
 {
     Site site;
--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -606,7 +606,8 @@
     Error reason;
     const bool opened = startReplica(&reason);
     writeEvent(m_core.log,
-               change(opened ? "journal-reopened" : "journal-failed").with("reason", reason.message));
+               change(opened ? "journal-reopened" : "journal-failed")
+                       .with("reason", reason.message));
     if (!opened)
         m_reopenAt = now + ReopenPause;
 }
--- a/packages/runner/src/offer.cpp
+++ b/packages/runner/src/offer.cpp
@@ -48,7 +48,9 @@
 
 std::uint32_t mostStarts(const RunnerState &runner, Time now)
 {
-    if (!mayStart(runner))
+    // An entry must not be told of room while every start would be refused: it would send again
+    // at once, and again.
+    if (!mayStart(runner) || !leaseDeadline(runner, now))
         return 0;
     if (!onTrial(runner))
         return AnyNumber;
--- a/packages/runner/src/runner.cpp
+++ b/packages/runner/src/runner.cpp
@@ -282,7 +282,7 @@
 {
     if (runner.endpoint.leaving || runner.stopping)
         return RefusedStart::Leaving;
-    if (mostStarts(runner, now) == 0 || !leaseDeadline(runner, now))
+    if (mostStarts(runner, now) == 0)
         return RefusedStart::NotReady;
     if (!jobs::fits(room, freeRoom(runner)))
         return RefusedStart::NoRoom;
--- a/packages/runner/tests/runner_test.cpp
+++ b/packages/runner/tests/runner_test.cpp
@@ -282,6 +282,7 @@
     actions = bench.answerLook(look);
     ASSERT_TRUE(actions.look);
     EXPECT_FALSE(actions.look->deadline);
+    EXPECT_EQ(viewOf(bench.runner, bench.now).mostStarts, 0U);
     EXPECT_EQ(endsIn(bench.start(2))[0].refused, RefusedStart::NotReady);
 }
 
