A soak of our own: the real programs under faults from outside

Change: tools/soak/soak.py plays 13 processes with signals, proxies, endpoints that crash and hang, catalogs that race, and checks the promises from what callers, operators and endpoints see; its stand-ins that speak the platform are in platform/standins.py. A process may listen for its fleet at another address than the one that is dialled.

--- a/packages/fleet/include/foxwing/fleet/settings.h
+++ b/packages/fleet/include/foxwing/fleet/settings.h
@@ -57,6 +57,10 @@
     std::string control;
     std::string metrics;
 
+    // Where this process listens for the others of the fleet, if that is not the address that they
+    // dial, since something stands between.
+    std::string inner;
+
     // [endpoint], agents only
     std::string endpointAddress;
 
@@ -82,5 +86,6 @@
 // The inner addresses of the seeds.
 std::vector<std::string> seedAddresses(const FleetSettings &settings);
 std::string innerAddress(const FleetSettings &settings);
+std::string innerListenAddress(const FleetSettings &settings);
 
 } // namespace foxwing::fleet
--- a/packages/fleet/src/agentshell.cpp
+++ b/packages/fleet/src/agentshell.cpp
@@ -108,7 +108,7 @@
 
 bool AgentShell::start(Error *reason)
 {
-    auto inner = fabric::listenAt(m_core.io, innerAddress(m_core.settings), reason);
+    auto inner = fabric::listenAt(m_core.io, innerListenAddress(m_core.settings), reason);
     if (!inner)
         return false;
     m_listener =
--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -251,7 +251,7 @@
     m_core.self.groupId = *identity;
     if (!startReplica(reason))
         return false;
-    auto inner = fabric::listenAt(m_core.io, innerAddress(m_core.settings), reason);
+    auto inner = fabric::listenAt(m_core.io, innerListenAddress(m_core.settings), reason);
     if (!inner)
         return false;
     m_listener =
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -65,6 +65,7 @@
     table.text("readiness", settings.readiness);
     table.text("control", settings.control);
     table.text("metrics", settings.metrics);
+    table.text("inner", settings.inner);
     if (settings.role == directory::Role::Entry && settings.callers.empty())
         table.refuse("callers", "must be the address for callers");
     if (settings.role != directory::Role::Entry && settings.control.empty())
@@ -161,4 +162,9 @@
     return settings.ip + ":" + std::to_string(settings.innerPort);
 }
 
+std::string innerListenAddress(const FleetSettings &settings)
+{
+    return settings.inner.empty() ? innerAddress(settings) : settings.inner;
+}
+
 } // namespace foxwing::fleet
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache pkg-config curl clang-format clang-tidy
     libboost-dev libboost-log-dev libcpprest-dev libcurl4-openssl-dev libgtest-dev libjsoncpp-dev
-    libjsonrpccpp-dev libmicrohttpd-dev libpopt-dev libssl-dev libtomlplusplus-dev libxxhash-dev rapidjson-dev)
+    libjsonrpccpp-dev libmicrohttpd-dev libpopt-dev libssl-dev libtomlplusplus-dev libxxhash-dev python3 rapidjson-dev)
 missing=()
 for package in "${packages[@]}"; do
     dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
--- /dev/null
+++ b/tools/soak/soak.py
@@ -0,0 +1,376 @@
+#!/usr/bin/env python3
+"""A soak: the real programs as separate processes on one machine, with faults from outside them.
+
+    tools/soak/soak.py --daemon build/apps/foxwingd --seed 1 --seconds 20
+
+Every process of the fleet listens behind a proxy on loopback that can delay, reset, silence or cut one way
+what goes through it. Faults come in series and overlap: signals that kill, stop, pause and restart; the
+proxies; endpoints that crash and hang; catalogs that change. Callers send a job again after their
+connection broke. The promises are checked while it runs, from what callers, operators and endpoints see:
+
+- the room of an endpoint is never exceeded, and a task never has two runs at once;
+- "completed" means that each task of the job ended as done; "not run" that none began for that call;
+- a catalog that was acknowledged is never read back older, and is there at the end;
+- when the faults are over, all jobs are served.
+
+The verdict is the exit code; the seed makes the same faults again (the machine's timing differs). Logs of
+the processes are kept under --folder. Only processes that were started here are ended, by their ids.
+"""
+import argparse
+import asyncio
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "../../platform"))
+import standins  # noqa: E402
+
+ENTRIES, AGENTS, CONTROLS = 3, 5, 5
+CAPACITY = 8000
+RESEND_S = 1.3
+INNER_PORT = 7720
+
+
+class Ledger:
+    """What endpoints have run, and which promises were broken."""
+
+    def __init__(self):
+        self.running, self.used, self.done, self.begun = {}, {}, set(), {}
+        self.violations, self.starts = [], 0
+
+    def violate(self, what):
+        self.violations.append(f"{time.monotonic() - BEGAN:.3f} s: {what}")
+        print("VIOLATION", self.violations[-1], flush=True)
+
+    def endpoint_emptied(self, endpoint):
+        self.used[endpoint] = {}
+        self.running = {task: at for task, at in self.running.items() if at != endpoint}
+
+    def began(self, endpoint, key, cores, capacity):
+        self.starts += 1
+        self.used[endpoint][key] = cores
+        self.begun.setdefault(key[0].split(".")[0], []).append(time.monotonic())
+        if key[0] in self.running:
+            self.violate(f"two runs of {key[0]}")
+        self.running[key[0]] = endpoint
+        if sum(self.used[endpoint].values()) > capacity:
+            self.violate(f"room exceeded at endpoint {endpoint}")
+
+    def ended(self, endpoint, key, how):
+        self.used[endpoint].pop(key, None)
+        self.running.pop(key[0], None)
+        if how == "done":
+            self.done.add(key[0])
+
+
+class Proxy:
+    """Stands before one listener. mode: pass, silent, oneway, or delay."""
+
+    def __init__(self, listen, target):
+        self.listen, self.target, self.mode, self.pairs = listen, target, "pass", set()
+
+    async def serve(self):
+        host, port = self.listen.split(":")
+        await asyncio.start_server(self.connection, host, int(port), backlog=512)
+
+    async def connection(self, reader, writer):
+        host, port = self.target.split(":")
+        try:
+            if self.mode == "silent":
+                await asyncio.sleep(3)
+            back_reader, back_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self.pairs.add((writer, back_writer))
+        await asyncio.gather(self.pump(reader, back_writer, "in"),
+                             self.pump(back_reader, writer, "out"))
+        self.pairs.discard((writer, back_writer))
+
+    async def pump(self, reader, writer, way):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(random.uniform(0.01, 0.15))
+                while self.mode == "silent" or (self.mode == "oneway" and way == "out"):
+                    await asyncio.sleep(0.02)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        # Both ways end as soon as one does, as after a reset.
+        writer.transport.abort()
+
+    def reset(self):
+        for pair in list(self.pairs):
+            for writer in pair:
+                writer.transport.abort()
+
+
+class Process:
+    """One foxwingd, its settings and its life."""
+
+    def __init__(self, daemon, folder, role, number, seeds, block):
+        self.daemon, self.folder, self.role, self.number = daemon, folder, role, number
+        self.name, self.seeds, self.first = f"{role}-{number}", seeds, True
+        code = block + {"entry": 1, "agent": 2, "control": 3}[role]
+        self.ip, self.inner_ip = f"127.{code}.1.{number}", f"127.{code}.2.{number}"
+        self.port = f"{self.inner_ip}:8161"
+        self.endpoint = f"127.{block + 4}.1.{number}:8165"
+        self.process, self.paused, self.life = None, False, 0
+
+    def settings(self):
+        listen = {"entry": f'callers = "{self.port}"\nreadiness = "{self.inner_ip}:8167"',
+                  "agent": f'control = "{self.port}"\n\n[endpoint]\naddress = "{self.endpoint}"',
+                  "control": f'control = "{self.port}"'}[self.role]
+        data = f'data_folder = "{self.folder}/{self.name}"\n' if self.role == "control" else ""
+        seeds = ", ".join(f'"{seed}:8161"' for seed in self.seeds)
+        return (f'[node]\nname = "{self.name}"\nrole = "{self.role}"\nip = "{self.ip}"\n{data}\n'
+                f'[cluster]\ninner_port = {INNER_PORT}\nseeds = [{seeds}]\n'
+                f'first_start = {"true" if self.first else "false"}\n\n[listen]\n'
+                f'inner = "{self.inner_ip}:{INNER_PORT}"\n{listen}\n')
+
+    async def start(self):
+        os.makedirs(f"{self.folder}/{self.name}", exist_ok=True)
+        path = f"{self.folder}/{self.name}.toml"
+        with open(path, "w") as file:
+            file.write(self.settings())
+        self.first, self.life = False, self.life + 1
+        self.log = open(f"{self.folder}/{self.name}.log", "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            self.daemon, "--fleet", path, stdout=self.log, stderr=self.log)
+
+    def signal(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def restart(self, number, pause):
+        """Ends the process with a signal, waits for its end, and starts it again."""
+        self.signal(signal.SIGCONT)
+        self.signal(number)
+        if number != signal.SIGKILL:
+            try:
+                await asyncio.wait_for(self.process.wait(), 8)
+            except asyncio.TimeoutError:
+                ledger.violate(f"{self.name} did not end within its grace")
+                self.signal(signal.SIGKILL)
+        await self.process.wait()
+        if number != signal.SIGKILL and self.process.returncode not in (0, -signal.SIGKILL):
+            ledger.violate(f"{self.name} ended with {self.process.returncode}")
+        await asyncio.sleep(pause)
+        await self.start()
+
+
+class Soak:
+    def __init__(self, options, folder):
+        self.random = random.Random(options.seed)
+        self.seconds, self.folder = options.seconds, folder
+        block = 10 * options.block
+        seeds = [f"127.{block + 3}.1.{number}" for number in (1, 2, 3)]
+
+        def make(role, count):
+            return [Process(options.daemon, folder, role, number + 1, seeds, block)
+                    for number in range(count)]
+
+        self.entries, self.agents = make("entry", ENTRIES), make("agent", AGENTS)
+        self.controls = make("control", CONTROLS)
+        self.endpoints = [standins.Endpoint(agent.number, agent.endpoint, agent.port, ledger, CAPACITY)
+                          for agent in self.agents]
+        self.all = self.entries + self.agents + self.controls
+        self.proxies = {p.name: Proxy(f"{p.ip}:{INNER_PORT}", f"{p.inner_ip}:{INNER_PORT}")
+                        for p in self.agents + self.controls}
+        self.busy, self.counts = set(), {}
+        self.version, self.acknowledged, self.jobs = 0, 0, 0
+        self.stopping = False
+
+    def count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    # Callers
+
+    async def caller(self):
+        while not self.stopping:
+            asyncio.ensure_future(self.job())
+            await asyncio.sleep(self.random.uniform(0.02, 0.12))
+
+    async def job(self):
+        self.jobs += 1
+        job = f"{self.jobs:016x}"
+        tasks, cores = self.random.randint(1, 6), self.random.randint(800, 2000)
+        work_s, first = self.random.uniform(0.05, 0.8), True
+        for _ in range(4):
+            entry = self.random.choice(self.entries)
+            outcome = await standins.submit(entry.port, job, tasks, cores, work_s)
+            if outcome != "unknown":
+                break
+            first = False
+            await asyncio.sleep(RESEND_S)
+        self.count(outcome)
+        names = [f"{job}.0.0.{index}" for index in range(tasks)]
+        if outcome == "completed" and not all(name in ledger.done for name in names):
+            ledger.violate(f"job {job} completed without all its tasks")
+        if outcome == "not-run" and first and job in ledger.begun:
+            ledger.violate(f"job {job} said not to have run, but it began")
+        return outcome
+
+    # Operators
+
+    async def operator(self):
+        while not self.stopping:
+            self.version += self.random.randint(1, 3)
+            version, known = self.version, self.acknowledged
+            control = self.random.choice(self.controls)
+            answer = await standins.declare(control.port, version)
+            if answer is False:
+                ledger.violate(f"catalog {version} was refused")
+            if answer:
+                self.acknowledged = max(self.acknowledged, version)
+                self.count("catalogs acknowledged")
+            await asyncio.sleep(self.random.uniform(0.2, 0.8))
+            known = self.acknowledged
+            read = await standins.read_version(self.random.choice(self.controls).port)
+            if read is not None and read < known:
+                ledger.violate(f"catalog {read} was read after {known} was acknowledged")
+
+    # Faults
+
+    async def faults(self):
+        kinds = [self.kill, self.kill, self.terminate, self.pause, self.cut, self.cut, self.reset,
+                 self.delay, self.crash_endpoint, self.hang_endpoint, self.herd]
+        while not self.stopping:
+            asyncio.ensure_future(self.random.choice(kinds)())
+            await asyncio.sleep(self.random.uniform(0.3, 1.5))
+
+    def pick(self, among):
+        """A process with no fault on it; at most two control hosts at a time have one."""
+        free = [p for p in among if p.name not in self.busy]
+        lost = sum(1 for p in self.controls if p.name in self.busy)
+        free = [p for p in free if p.role != "control" or lost < 2]
+        return self.random.choice(free) if free else None
+
+    async def on(self, name, among, work):
+        process = self.pick(among)
+        if process:
+            self.count(name)
+            self.busy.add(process.name)
+            await work(process)
+            self.busy.discard(process.name)
+
+    async def kill(self):
+        pause = self.random.uniform(0.05, 2)
+        await self.on("kill", self.all, lambda p: p.restart(signal.SIGKILL, pause))
+
+    async def terminate(self):
+        await self.on("terminate", self.all, lambda p: p.restart(signal.SIGTERM, 0.2))
+
+    async def pause(self):
+        async def work(process):
+            process.signal(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.1, 3))
+            process.signal(signal.SIGCONT)
+        await self.on("pause", self.all, work)
+
+    async def through_proxy(self, name, mode):
+        async def work(process):
+            self.proxies[process.name].mode = mode
+            await asyncio.sleep(self.random.uniform(0.2, 3))
+            self.proxies[process.name].mode = "pass"
+            self.proxies[process.name].reset()
+        await self.on(name, self.agents + self.controls, work)
+
+    async def cut(self):
+        mode = self.random.choice(["silent", "oneway"])
+        await self.through_proxy(mode, mode)
+
+    async def delay(self):
+        await self.through_proxy("delay", "delay")
+
+    async def reset(self):
+        async def work(process):
+            self.proxies[process.name].reset()
+        await self.on("reset", self.agents + self.controls, work)
+
+    async def crash_endpoint(self):
+        self.count("endpoint crash")
+        self.random.choice(self.endpoints).new_life()
+
+    async def hang_endpoint(self):
+        self.count("endpoint hang")
+        endpoint = self.random.choice(self.endpoints)
+        endpoint.hangs = True
+        await asyncio.sleep(self.random.uniform(0.3, 2))
+        endpoint.hangs = False
+
+    async def herd(self):
+        """All of control, or everything, is killed at once."""
+        if self.random.random() < 0.7 or self.busy:
+            return
+        self.count("herd kill")
+        herd = self.random.choice([self.controls, self.all])
+        self.busy.update(p.name for p in herd)
+        await asyncio.gather(*(p.restart(signal.SIGKILL, self.random.uniform(0, 0.5)) for p in herd))
+        self.busy.difference_update(p.name for p in herd)
+
+    # The whole
+
+    async def settle(self):
+        for _ in range(100):
+            if not self.busy and await standins.read_version(self.controls[0].port) is not None:
+                break
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(3)
+
+    async def play(self):
+        for part in list(self.proxies.values()) + self.endpoints:
+            await part.serve()
+        await asyncio.gather(*(process.start() for process in self.all))
+        while self.acknowledged == 0:
+            self.version = 1
+            if await standins.declare(self.controls[0].port, 1):
+                self.acknowledged = 1
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(1.5)
+        tasks = [asyncio.ensure_future(part()) for part in (self.caller, self.operator, self.faults)]
+        await asyncio.sleep(self.seconds)
+        self.stopping = True
+        await asyncio.gather(*tasks)
+        await self.settle()
+        outcomes = await asyncio.gather(*(self.job() for _ in range(8)))
+        if any(outcome != "completed" for outcome in outcomes):
+            ledger.violate(f"after the faults jobs ended as {outcomes}")
+        read = await standins.read_version(self.controls[0].port)
+        if read is None or read < self.acknowledged:
+            ledger.violate(f"at the end catalog {read} is read, {self.acknowledged} was acknowledged")
+        for process in self.all:
+            process.signal(signal.SIGKILL)
+        await asyncio.gather(*(process.process.wait() for process in self.all))
+
+
+def main():
+    parser = argparse.ArgumentParser(description="The fleet's programs under faults from outside")
+    parser.add_argument("--daemon", required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--block", type=int, default=0, choices=range(20),
+                        help="a range of loopback addresses, so that several can run side by side")
+    parser.add_argument("--folder", help="keeps logs here; a temporary one if left out")
+    options = parser.parse_args()
+    folder = options.folder or tempfile.mkdtemp(prefix="foxwing-soak-")
+    os.makedirs(folder, exist_ok=True)
+    soak = Soak(options, os.path.abspath(folder))
+    asyncio.get_event_loop().run_until_complete(soak.play())
+    print(f"seed {options.seed}: {soak.jobs} jobs, {ledger.starts} starts, {soak.counts}, "
+          f"{len(ledger.violations)} violations; logs in {folder}")
+    if not ledger.violations and not options.folder:
+        shutil.rmtree(folder)
+    return 1 if ledger.violations else 0
+
+
+BEGAN = time.monotonic()
+ledger = Ledger()
+if __name__ == "__main__":
+    sys.exit(main())
