--- a/packages/fleet/src/node.cpp
+++ b/packages/fleet/src/node.cpp
@@ -174,6 +174,11 @@
 {
     State &state = *m_state;
     const FleetSettings &settings = state.core.settings;
+    // First of all: a stop signal that comes while a journal is read must not just end the process.
+    state.signals.add(SIGTERM);
+    state.signals.add(SIGINT);
+    state.signals.add(SIGHUP);
+    state.watchSignals();
     state.core.self.name = settings.name;
     state.core.self.role = settings.role;
     state.core.self.address = innerAddress(settings);
@@ -198,10 +203,6 @@
                        .with("address", state.core.self.address)
                        .with("incarnation", state.core.self.incarnation)
                        .with("first_start", settings.firstStart ? 1 : 0));
-    state.signals.add(SIGTERM);
-    state.signals.add(SIGINT);
-    state.signals.add(SIGHUP);
-    state.watchSignals();
     state.turn();
     return true;
 }
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -34,6 +34,9 @@
 RESEND_S = 1.3
 INNER_PORT = 7720
 
+# A program is loaded and at work after this long, on a busy machine too.
+LOADED_S = 0.7
+
 
 class Ledger:
     """What endpoints have run, and which promises were broken."""
@@ -140,6 +143,7 @@
         with open(path, "w") as file:
             file.write(self.settings())
         self.first, self.life = False, self.life + 1
+        self.began = time.monotonic()
         self.log = open(f"{self.folder}/{self.name}.log", "ab")
         self.process = await asyncio.create_subprocess_exec(
             self.daemon, "--fleet", path, stdout=self.log, stderr=self.log)
@@ -151,6 +155,9 @@
     async def restart(self, number, pause):
         """Ends the process with a signal, waits for its end, and starts it again."""
         self.signal(signal.SIGCONT)
+        if number != signal.SIGKILL:
+            # Before it has begun to run, a stop signal ends any program, whatever it would do.
+            await asyncio.sleep(max(0, self.began + LOADED_S - time.monotonic()))
         self.signal(number)
         if number != signal.SIGKILL:
             try:
