--- a/tools/soak/seeds.sh
+++ b/tools/soak/seeds.sh
@@ -4,9 +4,13 @@
 cd "$(dirname "$0")/../.."
 seconds=${3:-15}
 beside=${4:-4}
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+# A copy: a build that goes on beside must not change the program under the processes.
+cp build/apps/foxwingd "$folder/foxwingd"
 play() {
     local seed=$1 block=$2
-    timeout 180 python3 tools/soak/soak.py --daemon build/apps/foxwingd --seed "$seed" --seconds "$seconds" \
+    timeout 180 python3 tools/soak/soak.py --daemon "$folder/foxwingd" --seed "$seed" --seconds "$seconds" \
         --block "$block" | grep -E 'VIOLATION|^seed' || echo "seed $seed: no verdict"
 }
 lane() {
@@ -16,6 +20,6 @@
 }
 for ((block = 0; block < beside; ++block)); do
     lane "$1" "$2" "$block" &
-done | tee /tmp/foxwing-soak-seeds.txt
+done | tee "$folder/verdicts"
 wait
-! grep -qE 'VIOLATION|no verdict' /tmp/foxwing-soak-seeds.txt
+! grep -E 'VIOLATION|no verdict' "$folder/verdicts"
