--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -3,17 +3,12 @@
     and the operators' interface.
 
     [SECTION] Shell
-    [SECTION] Identity
     [SECTION] Nodes
     [SECTION] Group
     [SECTION] Operators
     [SECTION] Time
 */
-#include <deque>
-#include <fcntl.h>
-#include <fstream>
 #include <random>
-#include <unistd.h>
 
 #include <boost/asio/post.hpp>
 
@@ -21,11 +16,11 @@
 #include <foxwing/replica/replica.h>
 
 #include "core.h"
+#include "identity.h"
 
 namespace foxwing::fleet {
 
 using eventlog::change;
-using eventlog::Event;
 using fabric::ExchangePtr;
 
 // [SECTION] Shell
@@ -121,10 +116,6 @@
     std::vector<metrics::Sample> samples() const override;
 
 private:
-    // Identity
-    std::optional<std::string> readIdentity(Error *reason);
-    std::vector<std::string> firstVoters() const;
-
     // Nodes
     void nodeConnected(const std::shared_ptr<fabric::Link> &link);
     void nodeReceived(std::uint64_t connection, std::string_view bytes);
@@ -184,68 +175,9 @@
     Time m_stopBegan {};
 };
 
-// [SECTION] Identity
-
-// Group ids are "ADDRESS/DISK": a host that comes back with an empty disk is another member.
-constexpr const char *FirstDisk = "first";
-
-bool syncFolder(const std::string &folder)
-{
-    const int descriptor = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY);
-    if (descriptor < 0)
-        return false;
-    const bool synced = ::fsync(descriptor) == 0;
-    ::close(descriptor);
-    return synced;
-}
-
-bool writeSynced(const std::string &path, const std::string &text)
-{
-    const int descriptor = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
-    if (descriptor < 0)
-        return false;
-    const bool written = ::write(descriptor, text.data(), text.size())
-            == static_cast<ssize_t>(text.size());
-    const bool synced = written && ::fsync(descriptor) == 0;
-    return (::close(descriptor) == 0) && synced;
-}
-
-std::vector<std::string> ControlShell::firstVoters() const
-{
-    std::vector<std::string> voters;
-    if (!m_core.settings.firstStart)
-        return voters;
-    for (const std::string &seed : seedAddresses(m_core.settings))
-        voters.push_back(seed + "/" + FirstDisk);
-    return voters;
-}
-
-std::optional<std::string> ControlShell::readIdentity(Error *reason)
-{
-    const std::string path = m_core.settings.dataFolder + "/identity";
-    std::ifstream file(path);
-    std::string disk;
-    // A file that was created and not written whole is as good as none: nothing was agreed yet.
-    if (std::getline(file, disk) && !disk.empty() && disk.back() == '.') {
-        disk.pop_back();
-        return innerAddress(m_core.settings) + "/" + disk;
-    }
-    const auto voters = firstVoters();
-    const std::string asFirst = innerAddress(m_core.settings) + "/" + FirstDisk;
-    disk = FirstDisk;
-    if (std::find(voters.begin(), voters.end(), asFirst) == voters.end()) {
-        std::random_device device;
-        disk = std::to_string((std::uint64_t { device() } << 32U) | device());
-    }
-    if (!writeSynced(path, disk + ".\n") || !syncFolder(m_core.settings.dataFolder))
-        return fail(reason, ErrorKind::Unavailable,
-                    path + ": can't be written; check the disk and the folder's rights");
-    return innerAddress(m_core.settings) + "/" + disk;
-}
-
 bool ControlShell::start(Error *reason)
 {
-    const auto identity = readIdentity(reason);
+    const auto identity = readIdentity(m_core.settings, reason);
     if (!identity)
         return false;
     m_core.self.groupId = *identity;
@@ -410,13 +342,10 @@
     replica::ReplicaSettings settings;
     settings.quorum.self = m_core.self.groupId;
     settings.quorum.seed = device();
-    settings.quorum.firstVoters = firstVoters();
+    settings.quorum.firstVoters = firstVotersFor(m_core.settings, m_core.self.groupId);
     settings.quorum.selfManaged = true;
     settings.quorum.electionSpan = ElectionSpan;
     settings.quorum.heartbeatInterval = HeartbeatInterval;
-    const std::string asFirst = innerAddress(m_core.settings) + "/" + FirstDisk;
-    if (m_core.self.groupId != asFirst)
-        settings.quorum.firstVoters.clear();
     settings.dataFolder = m_core.settings.dataFolder + "/journal";
     settings.snapshotEvery = SnapshotEvery;
     m_replica = std::make_unique<replica::Replica>(settings, replicaEvents());
--- a/packages/fleet/src/core.cpp
+++ b/packages/fleet/src/core.cpp
@@ -1,7 +1,8 @@
 /*
-    Connections to control.
+    Listeners, and connections to control.
 
     [SECTION] Frames
+    [SECTION] Listening
     [SECTION] Control links
 */
 #include "core.h"
@@ -22,6 +23,28 @@
     return frame;
 }
 
+// [SECTION] Listening
+
+std::unique_ptr<fabric::Listener> listenInside(Core &core, fabric::Listener::Accepted onAccepted,
+                                               Error *reason)
+{
+    auto acceptor = fabric::listenAt(core.io, innerListenAddress(core.settings), reason);
+    if (!acceptor)
+        return nullptr;
+    return std::make_unique<fabric::Listener>(core.io, std::move(*acceptor), fabric::LinkLimits(),
+                                              std::move(onAccepted));
+}
+
+std::unique_ptr<fabric::HttpServer> serveHttp(Core &core, const std::string &address,
+                                              fabric::HttpServer::Handler handler, Error *reason)
+{
+    auto acceptor = fabric::listenAt(core.io, address, reason);
+    if (!acceptor)
+        return nullptr;
+    return std::make_unique<fabric::HttpServer>(core.io, std::move(*acceptor), fabric::HttpLimits(),
+                                                std::move(handler));
+}
+
 // [SECTION] Control links
 
 namespace {
--- a/packages/fleet/src/core.h
+++ b/packages/fleet/src/core.h
@@ -4,6 +4,7 @@
 
     [SECTION] Core
     [SECTION] Role
+    [SECTION] Listening
     [SECTION] Control links
     [SECTION] Frames
 */
@@ -16,6 +17,7 @@
 
 #include <foxwing/base/clock.h>
 #include <foxwing/eventlog/eventlog.h>
+#include <foxwing/fabric/httpserver.h>
 #include <foxwing/fabric/link.h>
 #include <foxwing/fleet/settings.h>
 #include <foxwing/metrics/metrics.h>
@@ -66,6 +68,15 @@
 // idle process next to nothing.
 constexpr Milliseconds TickInterval { 20 };
 
+// [SECTION] Listening
+
+// Links of other processes of the fleet; nothing, with the reason, if the address can't be had.
+std::unique_ptr<fabric::Listener> listenInside(Core &core, fabric::Listener::Accepted onAccepted,
+                                               Error *reason);
+
+std::unique_ptr<fabric::HttpServer> serveHttp(Core &core, const std::string &address,
+                                              fabric::HttpServer::Handler handler, Error *reason);
+
 // [SECTION] Control links
 
 struct ControlEvents
--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -108,25 +108,18 @@
 
 bool EntryShell::start(Error *reason)
 {
-    auto callers = fabric::listenAt(m_core.io, m_core.settings.callers, reason);
-    if (!callers)
+    m_callers = serveHttp(
+            m_core, m_core.settings.callers,
+            [this](const ExchangePtr &exchange) { handleCaller(exchange); }, reason);
+    if (!m_callers)
         return false;
-    fabric::HttpLimits limits;
-    m_callers = std::make_unique<fabric::HttpServer>(m_core.io, std::move(*callers), limits,
-                                                     [this](const ExchangePtr &exchange) {
-                                                         handleCaller(exchange);
-                                                     });
+    m_lastTurn = steadyNow();
     if (m_core.settings.readiness.empty())
         return true;
-    auto readiness = fabric::listenAt(m_core.io, m_core.settings.readiness, reason);
-    if (!readiness)
-        return false;
-    m_readiness = std::make_unique<fabric::HttpServer>(m_core.io, std::move(*readiness), limits,
-                                                       [this](const ExchangePtr &exchange) {
-                                                           handleReadiness(exchange);
-                                                       });
-    m_lastTurn = steadyNow();
-    return true;
+    m_readiness = serveHttp(
+            m_core, m_core.settings.readiness,
+            [this](const ExchangePtr &exchange) { handleReadiness(exchange); }, reason);
+    return m_readiness != nullptr;
 }
 
 // [SECTION] Callers
--- a/packages/fleet/src/node.cpp
+++ b/packages/fleet/src/node.cpp
@@ -71,11 +71,8 @@
 {
     if (core.settings.metrics.empty())
         return true;
-    auto acceptor = fabric::listenAt(core.io, core.settings.metrics, reason);
-    if (!acceptor)
-        return false;
-    metricsServer = std::make_unique<fabric::HttpServer>(
-            core.io, std::move(*acceptor), fabric::HttpLimits(),
+    metricsServer = serveHttp(
+            core, core.settings.metrics,
             [this](const fabric::ExchangePtr &exchange) {
                 std::vector<metrics::Sample> samples = role->samples();
                 samples.push_back({ "foxwing_log_lines_total", "Log lines written",
@@ -85,8 +82,9 @@
                 exchange->answer(
                         fabric::makeResponse(200, "text/plain; version=0.0.4",
                                              metrics::writeExposition(core.metrics, samples)));
-            });
-    return true;
+            },
+            reason);
+    return metricsServer != nullptr;
 }
 
 // [SECTION] Settings
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -6,9 +6,6 @@
 */
 #include <foxwing/fleet/settings.h>
 
-#include <fstream>
-#include <sstream>
-
 #include <foxwing/fabric/address.h>
 #include <foxwing/settings/tomlreader.h>
 
@@ -140,13 +137,10 @@
 
 std::optional<FleetSettings> readFleetSettings(const std::string &path, Error *reason)
 {
-    std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file)
-        return fail(reason, ErrorKind::NotFound,
-                    path + ": can't be read; name an existing settings file");
-    return parseFleetSettings(text.str(), path, reason);
+    const auto text = settings::readSettingsText(path, reason);
+    if (!text)
+        return std::nullopt;
+    return parseFleetSettings(*text, path, reason);
 }
 
 std::vector<std::string> seedAddresses(const FleetSettings &settings)
--- a/packages/settings/include/foxwing/settings/toml.h
+++ b/packages/settings/include/foxwing/settings/toml.h
@@ -39,4 +39,7 @@
 std::optional<toml::table> parseToml(const std::string &text, const std::string &path,
                                      Error *reason);
 
+// The text of a settings file, or nothing with a reason that names it.
+std::optional<std::string> readSettingsText(const std::string &path, Error *reason);
+
 } // namespace foxwing::settings
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -8,9 +8,7 @@
 #include <foxwing/settings/settings.h>
 
 #include <algorithm>
-#include <fstream>
 #include <set>
-#include <sstream>
 
 #include <foxwing/settings/tomlreader.h>
 
@@ -279,13 +277,10 @@
 
 std::optional<Settings> readSettings(const std::string &path, Error *reason)
 {
-    std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file)
-        return fail(reason, ErrorKind::NotFound,
-                    path + ": can't be read; name an existing settings file");
-    return parseSettings(text.str(), path, reason);
+    const auto text = readSettingsText(path, reason);
+    if (!text)
+        return std::nullopt;
+    return parseSettings(*text, path, reason);
 }
 
 } // namespace foxwing::settings
--- a/packages/settings/src/toml.cpp
+++ b/packages/settings/src/toml.cpp
@@ -5,6 +5,9 @@
 */
 #include <foxwing/settings/toml.h>
 
+#include <fstream>
+#include <sstream>
+
 namespace foxwing::settings {
 
 // [SECTION] Function
@@ -24,4 +27,15 @@
     }
 }
 
+std::optional<std::string> readSettingsText(const std::string &path, Error *reason)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file)
+        return fail(reason, ErrorKind::NotFound,
+                    path + ": can't be read; name an existing settings file");
+    return text.str();
+}
+
 } // namespace foxwing::settings
