Listen in one way in every role; forget control hosts that are gone for good

Change: listenInside() and serveHttp() everywhere; a host that is no seed, not listed and out of reach for 30 s is forgotten.

--- a/packages/fleet/src/agentshell.cpp
+++ b/packages/fleet/src/agentshell.cpp
@@ -108,23 +108,13 @@
 
 bool AgentShell::start(Error *reason)
 {
-    auto inner = fabric::listenAt(m_core.io, innerListenAddress(m_core.settings), reason);
-    if (!inner)
-        return false;
-    m_listener =
-            std::make_unique<fabric::Listener>(m_core.io, std::move(*inner), fabric::LinkLimits(),
-                                               [this](const std::shared_ptr<fabric::Link> &link) {
-                                                   entryConnected(link);
-                                               });
-    auto control = fabric::listenAt(m_core.io, m_core.settings.control, reason);
-    if (!control)
-        return false;
-    m_server = std::make_unique<fabric::HttpServer>(m_core.io, std::move(*control),
-                                                    fabric::HttpLimits(),
-                                                    [this](const ExchangePtr &exchange) {
-                                                        handleEndpoint(exchange);
-                                                    });
-    return true;
+    m_listener = listenInside(
+            m_core, [this](const std::shared_ptr<fabric::Link> &link) { entryConnected(link); },
+            reason);
+    m_server = serveHttp(
+            m_core, m_core.settings.control,
+            [this](const ExchangePtr &exchange) { handleEndpoint(exchange); }, reason);
+    return m_listener && m_server;
 }
 
 void AgentShell::carryOut(runner::RunnerActions &&actions)
--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -183,22 +183,14 @@
     m_core.self.groupId = *identity;
     if (!startReplica(reason))
         return false;
-    auto inner = fabric::listenAt(m_core.io, innerListenAddress(m_core.settings), reason);
-    if (!inner)
+    m_listener = listenInside(
+            m_core, [this](const std::shared_ptr<fabric::Link> &link) { nodeConnected(link); },
+            reason);
+    m_server = serveHttp(
+            m_core, m_core.settings.control,
+            [this](const ExchangePtr &exchange) { handleOperator(exchange); }, reason);
+    if (!m_listener || !m_server)
         return false;
-    m_listener =
-            std::make_unique<fabric::Listener>(m_core.io, std::move(*inner), fabric::LinkLimits(),
-                                               [this](const std::shared_ptr<fabric::Link> &link) {
-                                                   nodeConnected(link);
-                                               });
-    auto control = fabric::listenAt(m_core.io, m_core.settings.control, reason);
-    if (!control)
-        return false;
-    m_server = std::make_unique<fabric::HttpServer>(m_core.io, std::move(*control),
-                                                    fabric::HttpLimits(),
-                                                    [this](const ExchangePtr &exchange) {
-                                                        handleOperator(exchange);
-                                                    });
     reloaded();
     return true;
 }
--- a/packages/fleet/src/core.cpp
+++ b/packages/fleet/src/core.cpp
@@ -7,6 +7,8 @@
 */
 #include "core.h"
 
+#include <algorithm>
+
 namespace foxwing::fleet {
 
 using eventlog::change;
@@ -58,6 +60,10 @@
 // others may be on their way in or out.
 constexpr std::size_t MostControlPeers = 12;
 
+// A host that is neither a seed nor listed any more, and was out of reach for this long, is gone
+// for good; over a long day hosts that were replaced would take all the places.
+constexpr Milliseconds ForgetPeerAfter { 30000 };
+
 } // namespace
 
 struct ControlLinks::Peer
@@ -66,6 +72,9 @@
     std::shared_ptr<fabric::Link> link;
     Time heardAt {};
     Time sentAt {};
+
+    // When a control host listed it last
+    Time listedAt {};
     bool wasLost = false;
 };
 
@@ -86,9 +95,13 @@
 
 void ControlLinks::keep(const std::string &address)
 {
-    if (m_peers.count(address) != 0 || m_peers.size() >= MostControlPeers)
+    const auto known = m_peers.find(address);
+    if (known != m_peers.end())
+        known->second->listedAt = steadyNow();
+    if (known != m_peers.end() || m_peers.size() >= MostControlPeers)
         return;
     Peer &peer = *m_peers.emplace(address, std::make_unique<Peer>()).first->second;
+    peer.listedAt = steadyNow();
     peer.dialer =
             std::make_unique<fabric::Dialer>(m_core.io, address, fabric::DialerSettings(),
                                              [this,
@@ -137,8 +150,21 @@
     }
 }
 
+void ControlLinks::forgetGone(Time now)
+{
+    const std::vector<std::string> seeds = seedAddresses(m_core.settings);
+    for (auto item = m_peers.begin(); item != m_peers.end();) {
+        const Peer &peer = *item->second;
+        const bool isSeed = std::find(seeds.begin(), seeds.end(), item->first) != seeds.end();
+        const bool gone = !peer.link && !isSeed && now >= peer.listedAt + ForgetPeerAfter
+                && now >= peer.heardAt + ForgetPeerAfter;
+        item = gone ? m_peers.erase(item) : std::next(item);
+    }
+}
+
 void ControlLinks::tick(Time now)
 {
+    forgetGone(now);
     for (auto &[address, peer] : m_peers) {
         if (!peer->link)
             continue;
--- a/packages/fleet/src/core.h
+++ b/packages/fleet/src/core.h
@@ -100,6 +100,7 @@
 private:
     struct Peer;
     void keep(const std::string &address);
+    void forgetGone(Time now);
     void connected(Peer &peer, const std::shared_ptr<fabric::Link> &link);
     void received(Peer &peer, std::string_view bytes);
 
