Refuse jobs of too many tasks before making them; bound absurd numbers

Cause: read as a newcomer: a body of 256 KiB can name a thousand million tasks, and the entry made them all before it refused the job; estimates, rooms and stretches without bound could overflow.

--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -27,6 +27,9 @@
 // it started, or are about to, and callers have given it up.
 constexpr Milliseconds PauseSpan { 400 };
 
+// A declared stretch beyond this says no more than that the job may take any time.
+constexpr double MostStretch = 1000;
+
 // The platform asks for readiness every second and sends nobody after two misses.
 constexpr Milliseconds StopNotice { 2300 };
 
@@ -191,7 +194,7 @@
     terms.service = queue.service;
     terms.priority = queue.priority;
     terms.attempts = queue.attempts;
-    terms.stretch = queue.stretch;
+    terms.stretch = std::clamp(queue.stretch, 0.0, MostStretch);
     terms.targetLatency = queue.targetLatency;
     terms.beginBy = now + queue.timeout;
     if (call.patience)
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -66,6 +66,15 @@
             std::chrono::duration<double, std::milli>(static_cast<double>(span.count()) * factor));
 }
 
+std::uint64_t taskCount(const jobs::JobSpec &spec)
+{
+    std::uint64_t count = 0;
+    for (const jobs::StepSpec &step : spec.steps)
+        count += step.tasks;
+    return count;
+}
+
+// Without its tasks, which a job that is refused never gets: a caller may name millions.
 Job makeJob(const SchedulerSettings &settings, const jobs::JobSpec &spec, const JobTerms &terms,
             Time now)
 {
@@ -78,6 +87,12 @@
     job.latestBegin = job.objectiveAt - chain;
     const auto objective = std::chrono::duration_cast<Milliseconds>(job.objectiveAt - now);
     job.worthUntil = now + scaled(objective, settings.lateFactor) - chain;
+    return job;
+}
+
+void addTasks(Job &job)
+{
+    const jobs::JobSpec &spec = job.spec;
     for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
         job.tasksLeft.push_back(spec.steps[step].tasks);
         for (std::uint32_t index = 0; index < spec.steps[step].tasks; ++index) {
@@ -89,7 +104,6 @@
         }
     }
     job.waiting = static_cast<std::uint32_t>(job.tasks.size());
-    return job;
 }
 
 // Work that waits here and would go first, against the part of all room that this entry can count
@@ -114,7 +128,9 @@
     }
     if (room <= 0)
         return Microseconds(0);
-    return scaled(Milliseconds(1), waiting * scheduler.entries / room);
+    // Declared rooms can be absurd; beyond an hour it makes no difference.
+    constexpr double MostMilliseconds = 3.6e6;
+    return scaled(Milliseconds(1), std::min(MostMilliseconds, waiting * scheduler.entries / room));
 }
 
 bool anySuits(const SchedulerState &scheduler, const Job &job, const jobs::StepSpec &step)
@@ -139,7 +155,8 @@
     const jobs::JobTraits &traits = job.spec.traits;
     if (traits.kept || traits.gang || traits.lasting || traits.timed)
         return "this kind of job is not served yet";
-    if (job.tasks.empty() || job.tasks.size() > scheduler.settings.mostTasksPerJob)
+    const std::uint64_t tasks = taskCount(job.spec);
+    if (tasks == 0 || tasks > scheduler.settings.mostTasksPerJob)
         return "a job needs at least one task, and at most the number in the settings";
     const Microseconds wait = expectedWait(scheduler, job);
     const Microseconds objective = job.objectiveAt - job.arrivedAt;
@@ -187,6 +204,7 @@
                now, actions);
         return actions;
     }
+    addTasks(job);
     job.waitsFor = known == scheduler.byId.end() ? 0 : known->second;
     scheduler.byId[spec.id] = job.number;
     Job &kept = scheduler.jobs.emplace(job.number, std::move(job)).first->second;
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -189,6 +189,19 @@
     EXPECT_LT(refused, 29U);
 }
 
+// A body of 256 KiB can name more tasks than there is memory for.
+TEST(SchedulerAdmission, RefusesMoreTasksThanAJobMayHaveBeforeItMakesThem)
+{
+    Bench bench({ 4000 });
+    jobs::StepSpec step;
+    step.tasks = 100000;
+    step.room = { 1000, 10, 0 };
+    step.estimate = Milliseconds(100);
+    const SchedulerActions actions = bench.submit("job", std::vector<jobs::StepSpec>(10000, step));
+    ASSERT_EQ(actions.answers.size(), 1U);
+    EXPECT_EQ(actions.answers[0].outcome, JobOutcome::NotRun);
+}
+
 TEST(SchedulerAdmission, TheSameIdJoinsTheJobThatIsAtWork)
 {
     Bench bench({ 4000 });
