--- a/packages/quorum/tests/members_test.cpp
+++ b/packages/quorum/tests/members_test.cpp
@@ -38,6 +38,7 @@
 std::vector<Candidate> candidates(const std::vector<std::string> &ids)
 {
     std::vector<Candidate> made;
+    made.reserve(ids.size());
     for (const std::string &id : ids)
         made.push_back({ id, id.substr(0, id.find('/')) });
     return made;
@@ -53,9 +54,9 @@
     std::vector<std::string> learnersThen;
 };
 
-void PrintTo(const AdviceCase &tested, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const AdviceCase &tested)
 {
-    *out << tested.name;
+    return out << tested.name;
 }
 
 class Advice : public testing::TestWithParam<AdviceCase>
--- a/packages/runner/tests/runner_test.cpp
+++ b/packages/runner/tests/runner_test.cpp
@@ -106,9 +106,9 @@
     RefusedStart refused;
 };
 
-void PrintTo(const StartCase &tested, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const StartCase &tested)
 {
-    *out << tested.name;
+    return out << tested.name;
 }
 
 class Starts : public testing::TestWithParam<StartCase>
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -250,9 +250,9 @@
     bool starts;
 };
 
-void PrintTo(const SuitCase &tested, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const SuitCase &tested)
 {
-    *out << tested.name;
+    return out << tested.name;
 }
 
 class Suits : public testing::TestWithParam<SuitCase>
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -53,14 +53,15 @@
     std::vector<Fault> faults;
 };
 
-void PrintTo(const FaultCase &tested, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const FaultCase &tested)
 {
-    *out << tested.name;
+    return out << tested.name;
 }
 
 std::vector<Fault> allFaults()
 {
     std::vector<Fault> faults;
+    faults.reserve(Faults);
     for (int i = 0; i < Faults; ++i)
         faults.push_back(static_cast<Fault>(i));
     return faults;
@@ -118,9 +119,9 @@
     std::vector<Fault> faults;
 };
 
-void PrintTo(const GuardCase &tested, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const GuardCase &tested)
 {
-    *out << tested.name;
+    return out << tested.name;
 }
 
 class Guards : public testing::TestWithParam<GuardCase>
--- a/tests/fleet/world.cpp
+++ b/tests/fleet/world.cpp
@@ -187,9 +187,10 @@
         terms.targetLatency = Milliseconds(60);
         terms.beginBy = m_now + Milliseconds(1500);
         std::uint64_t number = 0;
-        auto actions = scheduler::submit(taker.state, m_calls.at(call).spec, terms, m_now, &number);
+        const auto actions = scheduler::submit(taker.state, m_calls.at(call).spec, terms, m_now,
+                                               &number);
         taker.calls[number] = call;
-        carryOut(chosen, std::move(actions));
+        carryOut(chosen, actions);
     });
 }
 
@@ -332,7 +333,7 @@
        });
 }
 
-void World::carryOut(int number, scheduler::SchedulerActions actions)
+void World::carryOut(int number, const scheduler::SchedulerActions &actions)
 {
     for (const scheduler::AgentSend &send : actions.sends)
         sendToAgent(number, send);
@@ -405,7 +406,7 @@
         on(agent, wait + OrderTimeout, [back] { back({}); });
 }
 
-void World::carryOut(int number, runner::RunnerActions actions)
+void World::carryOut(int number, const runner::RunnerActions &actions)
 {
     for (const runner::StopOrder &stop : actions.stops)
         order(
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -103,8 +103,8 @@
     void connect(int entry, int agent);
     void disconnect(int entry, int agent);
     bool pathOpen(int entry, int agent) const;
-    void carryOut(int entry, scheduler::SchedulerActions actions);
-    void carryOut(int agent, runner::RunnerActions actions);
+    void carryOut(int entry, const scheduler::SchedulerActions &actions);
+    void carryOut(int agent, const runner::RunnerActions &actions);
     void sendToAgent(int entry, const scheduler::AgentSend &send);
     void answered(int entry, const scheduler::JobAnswer &answer);
     template<class Order, class Do, class Answered>
