--- a/tests/fleet/replay_test.cpp
+++ b/tests/fleet/replay_test.cpp
@@ -31,8 +31,6 @@
 
 // [SECTION] Session
 
-using fabric::http::verb;
-
 constexpr std::uint64_t TheSession = 1;
 const char *const TheAgent = "agent-1";
 
@@ -185,7 +183,7 @@
         m_out.push_back("-> " + std::to_string(response.result_int()) + " " + response.body());
     }
 
-    void carryOut(runner::RunnerActions actions)
+    void carryOut(const runner::RunnerActions &actions)
     {
         const fleet::Dialect &dialect = platform::dialect();
         for (const runner::StopOrder &order : actions.stops) {
@@ -204,7 +202,7 @@
             carryOut(scheduler::agentUpdated(m_entry, TheAgent, update, m_now));
     }
 
-    void carryOut(scheduler::SchedulerActions actions)
+    void carryOut(const scheduler::SchedulerActions &actions)
     {
         for (const scheduler::JobAnswer &answer : actions.answers)
             write(platform::dialect().writeJobAnswer(answer));
