Tell entries of changed room every 10 ms instead of 100

Cause: an agent told room that came free at once only to the entry whose run had ended; the others learned of it up to 100 ms later, and their waiting jobs left it idle. Ruled out: starts that collide, which agents refuse at once, did not grow into a cost; a flag for entries that have jobs waiting is not needed at 3 to 12 entries.

--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -70,8 +70,10 @@
     // When a run can't be stopped for this long, the lease of the whole endpoint is left to end.
     Milliseconds stopGivenUp { 350 };
 
-    // Entries learn of changed room at least this often, if they are not told at once.
-    Milliseconds roomInterval { 100 };
+    // Entries learn of changed room at least this often, if they are not told at once. With 100 ms
+    // room stood idle while other entries had jobs waiting: mean worth of six days 0.827, with 10
+    // ms 0.832; the entry's processor share went from 0.0046 to 0.0065 (not charged).
+    Milliseconds roomInterval { 10 };
 
     // A run is judged once it ran for this long: twice the time in which an answer can be late on
     // a busy host.
