Decide operators' calls in a slice of their own

A commit that comes before its proposal is known (a single voter) is now accepted at once instead of at the next try. Conclusion: behaviour otherwise as before.

--- a/packages/fleet/include/foxwing/fleet/dialect.h
+++ b/packages/fleet/include/foxwing/fleet/dialect.h
@@ -17,6 +17,7 @@
 #include <foxwing/catalog/catalog.h>
 #include <foxwing/fabric/httpserver.h>
 #include <foxwing/jobs/job.h>
+#include <foxwing/operators/operators.h>
 #include <foxwing/runner/runner.h>
 #include <foxwing/scheduler/scheduler.h>
 
@@ -84,16 +85,7 @@
     Other,
 };
 
-enum class OperatorOutcome {
-    Accepted,
-
-    // The declaration is at fault and was not taken.
-    Invalid,
-
-    // Not known, or not known to be the newest; another control host may know.
-    Unsure,
-    NotFound,
-};
+using operators::OperatorOutcome;
 
 // [SECTION] Dialect
 
--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -1,11 +1,10 @@
 /*
-    A control host of a fleet: the agreement group that keeps the catalog, the directory of nodes,
-    and the operators' interface.
+    A control host of a fleet: the agreement group that keeps the catalog, and the directory of
+    nodes. The operators' interface has a shell of its own.
 
     [SECTION] Shell
     [SECTION] Nodes
     [SECTION] Group
-    [SECTION] Operators
     [SECTION] Time
 */
 #include <random>
@@ -17,6 +16,7 @@
 
 #include "core.h"
 #include "identity.h"
+#include "operatorshell.h"
 
 namespace foxwing::fleet {
 
@@ -27,13 +27,6 @@
 
 namespace {
 
-// An operator's call that can't be decided within this long is answered as unsure: callers go to
-// another host after a second.
-constexpr Milliseconds OperatorPatience { 900 };
-
-// Between tries of a call that found no leader.
-constexpr Milliseconds OperatorRetry { 60 };
-
 constexpr Milliseconds NodeBeatInterval { 500 };
 constexpr Milliseconds NodeSilence { 2500 };
 
@@ -80,32 +73,12 @@
     Time heardAt {};
 };
 
-// An operator's call under way, here or handed over by another host.
-struct OperatorCall
-{
-    bool isRead = false;
-    catalog::DeclaredCatalog declared;
-    Time cameAt {};
-    Time nextTry {};
-
-    // Where the answer goes: an operator's exchange, or a host with its own number for the call.
-    ExchangePtr exchange;
-    std::uint64_t fromConnection = 0;
-    std::uint64_t fromCall = 0;
-
-    // Under way at this host's log, or at another host
-    std::uint64_t index = 0;
-    std::uint64_t term = 0;
-    bool reading = false;
-    bool forwarded = false;
-};
-
 class ControlShell : public RoleShell
 {
 public:
     ControlShell(Core &core, const Dialect &dialect)
         : m_core(core)
-        , m_dialect(dialect)
+        , m_operators(core, dialect, operatorLinks())
     { }
 
     bool start(Error *reason) override;
@@ -136,19 +109,11 @@
     void watchMembers(Time now);
     void reopenJournal(Time now);
 
-    // Operators
-    void handleOperator(const ExchangePtr &exchange);
-    void addCall(OperatorCall call);
-    void tryCall(std::uint64_t number, OperatorCall &call, Time now);
-    void forward(std::uint64_t number, OperatorCall &call);
-    void forwardAnswered(const ForwardAnswer &answer);
-    void readDone(std::uint64_t number, bool confirmed);
-    void finishCall(std::uint64_t number, OperatorOutcome outcome, const std::string &reason,
-                    const catalog::DeclaredCatalog &declared);
-    void tickCalls(Time now);
+    OperatorLinks operatorLinks();
+    operators::GroupView groupView() const;
+    void sendToLeader(const Frame &frame);
 
     Core &m_core;
-    const Dialect &m_dialect;
     std::unique_ptr<fabric::Listener> m_listener;
     std::unique_ptr<fabric::HttpServer> m_server;
     std::unique_ptr<replica::Replica> m_replica;
@@ -157,8 +122,7 @@
     std::map<std::uint64_t, InnerPeer> m_nodes;
     std::uint64_t m_lastConnection = 0;
     std::map<std::string, GroupPeer> m_controls;
-    std::map<std::uint64_t, OperatorCall> m_calls;
-    std::uint64_t m_lastCall = 0;
+    OperatorShell m_operators;
     bool m_tellPosted = false;
 
     // Counts the replicas that this process has opened
@@ -169,9 +133,6 @@
     Time m_nextBeat {};
     Time m_nextMembers {};
     std::string m_toldLeader;
-    std::uint64_t m_accepted = 0;
-    std::uint64_t m_invalid = 0;
-    std::uint64_t m_unsure = 0;
     Time m_stopBegan {};
 };
 
@@ -188,7 +149,7 @@
             reason);
     m_server = serveHttp(
             m_core, m_core.settings.control,
-            [this](const ExchangePtr &exchange) { handleOperator(exchange); }, reason);
+            [this](const ExchangePtr &exchange) { m_operators.handle(exchange); }, reason);
     if (!m_listener || !m_server)
         return false;
     reloaded();
@@ -248,17 +209,9 @@
         if (message && group->to == m_core.self.groupId)
             m_replica->receive(*message);
     } else if (auto *declare = std::get_if<ForwardDeclare>(&*frame)) {
-        OperatorCall call;
-        call.declared = std::move(declare->declared);
-        call.fromConnection = connection;
-        call.fromCall = declare->call;
-        addCall(std::move(call));
+        m_operators.handedOver(connection, std::move(*declare));
     } else if (const auto *read = std::get_if<ForwardRead>(&*frame)) {
-        OperatorCall call;
-        call.isRead = true;
-        call.fromConnection = connection;
-        call.fromCall = read->call;
-        addCall(std::move(call));
+        m_operators.handedOver(connection, *read);
     }
 }
 
@@ -363,7 +316,9 @@
     events.installed = [this](const std::string &text, Error *reason) {
         return installed(text, reason);
     };
-    events.read = [this](std::uint64_t number, bool confirmed) { readDone(number, confirmed); };
+    events.read = [this](std::uint64_t number, bool confirmed) {
+        m_operators.readDone(number, confirmed);
+    };
     events.failed = [this](const Error &reason) {
         writeEvent(m_core.log, change("journal-failed").with("reason", reason.message));
         m_reopenAt = steadyNow() + ReopenPause;
@@ -410,13 +365,19 @@
                 keepControl(node.address);
         }
     } else if (const auto *answer = std::get_if<ForwardAnswer>(&*frame)) {
-        forwardAnswered(*answer);
+        m_operators.peerAnswered(*answer);
     }
 }
 
+// Members are named by an address and a disk.
+std::string addressOf(const std::string &member)
+{
+    return member.substr(0, member.find('/'));
+}
+
 void ControlShell::sendToMember(const std::string &to, const quorum::QuorumMessage &message)
 {
-    const std::string address = to.substr(0, to.find('/'));
+    const std::string address = addressOf(to);
     keepControl(address);
     const auto peer = m_controls.find(address);
     if (peer != m_controls.end() && peer->second.link)
@@ -456,18 +417,7 @@
     if (!readDeclared(text, &declared, reason))
         return false;
     adopt(std::move(declared));
-    std::vector<std::uint64_t> done;
-    for (auto &[number, call] : m_calls) {
-        if (call.index == 0 || call.index > index)
-            continue;
-        // Another leader's entry came in its place: the call is tried again.
-        if (call.index == index && call.term == term)
-            done.push_back(number);
-        else
-            call.index = 0;
-    }
-    for (const std::uint64_t number : done)
-        finishCall(number, OperatorOutcome::Accepted, "", {});
+    m_operators.committed(index, term);
     if (m_replica->wantsSnapshot())
         fabric::asio::post(m_core.io, [this] {
             if (m_replica->wantsSnapshot())
@@ -520,10 +470,7 @@
     if (!m_reopenAt || now < *m_reopenAt)
         return;
     m_reopenAt.reset();
-    for (auto &[number, call] : m_calls) {
-        call.index = 0;
-        call.reading = false;
-    }
+    m_operators.logReopened();
     Error reason;
     const bool opened = startReplica(&reason);
     writeEvent(m_core.log,
@@ -533,152 +480,38 @@
         m_reopenAt = now + ReopenPause;
 }
 
-// [SECTION] Operators
-
-void ControlShell::handleOperator(const ExchangePtr &exchange)
-{
-    const OperatorWish wish = m_dialect.readOperatorCall(exchange->request());
-    if (wish == OperatorWish::Other)
-        return exchange->answer(
-                m_dialect.writeOperatorAnswer(OperatorOutcome::NotFound, "no such call"));
-    OperatorCall call;
-    call.exchange = exchange;
-    call.isRead = wish == OperatorWish::Read;
-    if (!call.isRead) {
-        Error reason;
-        auto declared = m_dialect.readCatalog(exchange->request(), &reason);
-        if (!declared || !catalog::validate(declared->catalog, &reason)) {
-            ++m_invalid;
-            writeEvent(m_core.log, change("catalog-refused").with("reason", reason.message));
-            return exchange->answer(
-                    m_dialect.writeOperatorAnswer(OperatorOutcome::Invalid, reason.message));
-        }
-        call.declared = std::move(*declared);
-    }
-    addCall(std::move(call));
-}
-
-void ControlShell::addCall(OperatorCall call)
-{
-    const Time now = steadyNow();
-    const std::uint64_t number = ++m_lastCall;
-    call.cameAt = now;
-    OperatorCall &kept = m_calls.emplace(number, std::move(call)).first->second;
-    tryCall(number, kept, now);
-}
-
-// May finish the call, and so remove it.
-void ControlShell::tryCall(std::uint64_t number, OperatorCall &call, Time now)
-{
-    call.nextTry = now + OperatorRetry;
-    const bool underWay = call.index != 0 || call.reading || call.forwarded;
-    if (underWay)
-        return;
-    // A higher or equal version is agreed on, and stays so: sending this again changes nothing.
-    if (!call.isRead && !catalog::supersedes(m_declared.catalog, call.declared.catalog))
-        return finishCall(number, OperatorOutcome::Accepted, "nothing changed", {});
-    if (!m_replica->leadsNow())
-        return forward(number, call);
-    if (call.isRead) {
-        call.reading = true;
-        return m_replica->requestRead(number);
-    }
-    const std::string text = writeJson(toJson(call.declared));
-    const auto entry = m_replica->propose(text);
-    // With a single voter the proposal may be committed, and the call gone, by now.
-    const auto found = m_calls.find(number);
-    if (entry && found != m_calls.end()) {
-        found->second.index = entry->index;
-        found->second.term = entry->term;
-    }
-}
-
-void ControlShell::forward(std::uint64_t number, OperatorCall &call)
+operators::GroupView ControlShell::groupView() const
 {
     const std::string &leader = m_replica->state().leader;
-    const auto peer = m_controls.find(leader.substr(0, leader.find('/')));
-    // Handed over once: a host that was asked by another and does not lead answers so.
-    if (call.fromConnection != 0) {
-        if (leader != m_core.self.groupId)
-            finishCall(number, OperatorOutcome::Unsure, "this host does not lead", {});
-        return;
-    }
-    if (leader.empty() || peer == m_controls.end() || !peer->second.link)
-        return;
-    call.forwarded = true;
-    if (call.isRead)
-        peer->second.link->send(encodeFrame(Frame(ForwardRead { number })));
-    else
-        peer->second.link->send(encodeFrame(Frame(ForwardDeclare { number, call.declared })));
+    const auto peer = m_controls.find(addressOf(leader));
+    operators::GroupView view;
+    view.leads = m_replica->leadsNow();
+    view.isNamedLeader = leader == m_core.self.groupId;
+    view.reachesLeader = peer != m_controls.end() && peer->second.link != nullptr;
+    view.held = &m_declared;
+    return view;
 }
 
-void ControlShell::forwardAnswered(const ForwardAnswer &answer)
+void ControlShell::sendToLeader(const Frame &frame)
 {
-    const auto found = m_calls.find(answer.call);
-    if (found == m_calls.end())
-        return;
-    if (answer.outcome != OperatorOutcome::Unsure)
-        return finishCall(answer.call, answer.outcome, answer.reason, answer.declared);
-    found->second.forwarded = false;
-}
-
-void ControlShell::readDone(std::uint64_t number, bool confirmed)
-{
-    const auto found = m_calls.find(number);
-    if (found == m_calls.end())
-        return;
-    found->second.reading = false;
-    if (!confirmed)
-        return;
-    const bool known = m_declared.catalog.version > 0;
-    finishCall(number, known ? OperatorOutcome::Accepted : OperatorOutcome::Unsure,
-               known ? "" : "no catalog was declared yet", m_declared);
-}
-
-void ControlShell::finishCall(std::uint64_t number, OperatorOutcome outcome,
-                              const std::string &reason, const catalog::DeclaredCatalog &declared)
-{
-    const auto found = m_calls.find(number);
-    const OperatorCall call = std::move(found->second);
-    m_calls.erase(found);
-    ++(outcome == OperatorOutcome::Accepted ? m_accepted : m_unsure);
-    writeEvent(m_core.log,
-               change("operator-answered")
-                       .with("call", call.isRead ? "read" : "declare")
-                       .with("version",
-                             call.isRead ? declared.catalog.version : call.declared.catalog.version)
-                       .with("held", m_declared.catalog.version)
-                       .with("accepted", outcome == OperatorOutcome::Accepted ? 1 : 0)
-                       .with("reason", reason)
-                       .with("took_ms", steadyNow() - call.cameAt));
-    if (call.exchange) {
-        const bool gives = call.isRead && outcome == OperatorOutcome::Accepted;
-        call.exchange->answer(gives ? m_dialect.writeCatalog(declared)
-                                    : m_dialect.writeOperatorAnswer(outcome, reason));
-        return;
-    }
-    const auto node = m_nodes.find(call.fromConnection);
-    if (node != m_nodes.end())
-        node->second.link->send(encodeFrame(
-                Frame(ForwardAnswer { call.fromCall, outcome, reason,
-                                      call.isRead ? declared : catalog::DeclaredCatalog() })));
+    const auto peer = m_controls.find(addressOf(m_replica->state().leader));
+    if (peer != m_controls.end() && peer->second.link)
+        peer->second.link->send(encodeFrame(frame));
 }
 
-void ControlShell::tickCalls(Time now)
-{
-    std::vector<std::uint64_t> numbers;
-    for (const auto &[number, call] : m_calls)
-        numbers.push_back(number);
-    for (const std::uint64_t number : numbers) {
-        const auto found = m_calls.find(number);
-        if (found == m_calls.end())
-            continue;
-        OperatorCall &call = found->second;
-        if (now >= call.cameAt + OperatorPatience)
-            finishCall(number, OperatorOutcome::Unsure, "no quorum has confirmed it in time", {});
-        else if (now >= call.nextTry)
-            tryCall(number, call, now);
-    }
+OperatorLinks ControlShell::operatorLinks()
+{
+    OperatorLinks links;
+    links.group = [this] { return groupView(); };
+    links.propose = [this](const std::string &text) { return m_replica->propose(text); };
+    links.requestRead = [this](std::uint64_t call) { m_replica->requestRead(call); };
+    links.sendToLeader = [this](const Frame &frame) { sendToLeader(frame); };
+    links.sendToNode = [this](std::uint64_t connection, const Frame &frame) {
+        const auto node = m_nodes.find(connection);
+        if (node != m_nodes.end())
+            node->second.link->send(encodeFrame(frame));
+    };
+    return links;
 }
 
 // [SECTION] Time
@@ -692,18 +525,14 @@
     tellCatalog();
     beatNodes(now);
     watchMembers(now);
-    tickCalls(now);
+    m_operators.tick(now);
 }
 
 std::vector<metrics::Sample> ControlShell::samples() const
 {
     const auto count = [](std::uint64_t value) { return static_cast<double>(value); };
     const quorum::QuorumState &group = m_replica->state();
-    std::vector<metrics::Sample> samples {
-        { "foxwing_operator_accepted_total", "Operators' calls accepted", count(m_accepted) },
-        { "foxwing_operator_invalid_total", "Declarations refused as invalid", count(m_invalid) },
-        { "foxwing_operator_unsure_total", "Calls without a sure answer", count(m_unsure) },
-    };
+    std::vector<metrics::Sample> samples = m_operators.samples();
     const auto gauge = [&](const char *name, const char *help, std::uint64_t value) {
         samples.push_back({ name, help, count(value), true });
     };
--- /dev/null
+++ b/packages/operators/include/foxwing/operators/operators.h
@@ -0,0 +1,163 @@
+/*
+    What a control host does with an operator's call: a catalog to be declared, or a read of the
+    newest one.
+
+    Any control host takes any call. The one that leads proposes catalogs to the agreement group and
+    has reads confirmed by a quorum; the others hand calls over to it. A call is answered as
+    accepted only when that is certain, and as unsure once it has waited too long: operators then
+    ask another host, and sending the same catalog again is always safe.
+
+        OperatorState operators;
+        OperatorActions actions = addCall(operators, call, group, now, &number);
+        ... propose, read, hand over as actions say; tell proposed(), readDone(), ... ...
+        actions = committed(operators, index, term, now);
+
+    [SECTION] Calls
+    [SECTION] State
+    [SECTION] Actions
+    [SECTION] Functions
+*/
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <foxwing/catalog/catalog.h>
+#include <foxwing/eventlog/eventlog.h>
+
+namespace foxwing::operators {
+
+// [SECTION] Calls
+
+enum class OperatorOutcome {
+    Accepted,
+
+    // The declaration is at fault and was not taken.
+    Invalid,
+
+    // Not known, or not known to be the newest; another control host may know.
+    Unsure,
+    NotFound,
+};
+
+struct OperatorCall
+{
+    // A read of the newest catalog; otherwise declared is to be agreed on.
+    bool isRead = false;
+    catalog::DeclaredCatalog declared;
+
+    // Another control host has handed it over: it is not handed on once more.
+    bool fromPeer = false;
+
+    Time cameAt {};
+    Time nextTry {};
+
+    // Under way: at this host's log under an index and a term, as a read of this host, or at the
+    // host that leads
+    std::uint64_t index = 0;
+    std::uint64_t term = 0;
+    bool reading = false;
+    bool handedOver = false;
+};
+
+// The agreement group as this host sees it now.
+struct GroupView
+{
+    // This host leads, and its catalog is the newest.
+    bool leads = false;
+
+    // This host has heard that it leads, if it can't act yet.
+    bool isNamedLeader = false;
+
+    // The host that leads is known and connected.
+    bool reachesLeader = false;
+
+    // What is agreed on as far as this host knows
+    const catalog::DeclaredCatalog *held = nullptr;
+};
+
+// [SECTION] State
+
+struct OperatorSettings
+{
+    // A call that can't be decided within this long is answered as unsure: callers go to another
+    // host after a second.
+    Milliseconds patience { 900 };
+
+    // Between tries of a call that found no leader.
+    Milliseconds retry { 60 };
+};
+
+struct OperatorState
+{
+    OperatorSettings settings;
+    std::uint64_t lastNumber = 0;
+    std::map<std::uint64_t, OperatorCall> calls;
+
+    // The last entry of the log that was committed
+    std::uint64_t committedIndex = 0;
+    std::uint64_t committedTerm = 0;
+
+    // Counters for the metrics
+    std::uint64_t accepted = 0;
+    std::uint64_t unsure = 0;
+};
+
+// [SECTION] Actions
+
+struct OperatorAnswer
+{
+    std::uint64_t number = 0;
+    bool isRead = false;
+    OperatorOutcome outcome = OperatorOutcome::Unsure;
+    std::string reason;
+
+    // Of a read that is accepted
+    catalog::DeclaredCatalog declared;
+};
+
+struct OperatorActions
+{
+    // To be proposed; then proposed() is due for those that the log took.
+    std::vector<std::uint64_t> proposals;
+
+    // To be confirmed by a quorum; then readDone() is due.
+    std::vector<std::uint64_t> reads;
+
+    // For the host that leads; then peerAnswered() is due.
+    std::vector<std::uint64_t> handOvers;
+    std::vector<OperatorAnswer> answers;
+    std::vector<eventlog::Event> events;
+};
+
+// [SECTION] Functions
+
+OperatorActions addCall(OperatorState &operators, OperatorCall call, const GroupView &group,
+                        Time now, std::uint64_t *number);
+
+// The log has taken the call's catalog; it counts once an entry with this index and term is
+// committed. That may have happened already.
+OperatorActions proposed(OperatorState &operators, std::uint64_t number, std::uint64_t index,
+                         std::uint64_t term, const GroupView &group, Time now);
+
+// An entry is committed: calls that it was for are accepted, those whose place another leader's
+// entry took are tried again.
+OperatorActions committed(OperatorState &operators, std::uint64_t index, std::uint64_t term,
+                          const GroupView &group, Time now);
+
+OperatorActions readDone(OperatorState &operators, std::uint64_t number, bool confirmed,
+                         const GroupView &group, Time now);
+
+// The host that leads has answered a call that was handed over.
+OperatorActions peerAnswered(OperatorState &operators, const OperatorAnswer &answer,
+                             const GroupView &group, Time now);
+
+// Nothing is under way at the log any more: its journal was opened anew.
+void logReopened(OperatorState &operators);
+
+OperatorActions tick(OperatorState &operators, const GroupView &group, Time now);
+
+} // namespace foxwing::operators
--- /dev/null
+++ b/packages/operators/tests/operators_test.cpp
@@ -0,0 +1,269 @@
+/*
+    When an operator's call is accepted, handed over, tried again or given up.
+
+    [SECTION] Helpers
+    [SECTION] Declarations
+    [SECTION] Reads
+    [SECTION] Hosts that do not lead
+*/
+#include <gtest/gtest.h>
+
+#include <foxwing/operators/operators.h>
+
+namespace foxwing::operators {
+namespace {
+
+// [SECTION] Helpers
+
+enum class Place {
+    Leader,
+    Follower,
+
+    // Knows no leader, or does not reach it
+    Alone,
+
+    // Is told to lead, and has not caught up yet
+    NamedLeader,
+};
+
+struct Host
+{
+    explicit Host(Place place, std::uint64_t heldVersion = 5)
+    {
+        held.catalog.version = heldVersion;
+        view.held = &held;
+        view.leads = place == Place::Leader;
+        view.isNamedLeader = place == Place::Leader || place == Place::NamedLeader;
+        view.reachesLeader = place == Place::Follower;
+    }
+
+    OperatorActions declare(std::uint64_t version, bool fromPeer = false)
+    {
+        OperatorCall call;
+        call.declared.catalog.version = version;
+        call.fromPeer = fromPeer;
+        return addCall(operators, call, view, now, &number);
+    }
+
+    OperatorActions read()
+    {
+        OperatorCall call;
+        call.isRead = true;
+        return addCall(operators, call, view, now, &number);
+    }
+
+    OperatorActions pass(Milliseconds span)
+    {
+        now += span;
+        return tick(operators, view, now);
+    }
+
+    catalog::DeclaredCatalog held;
+    GroupView view;
+    OperatorState operators;
+    Time now { Seconds(100) };
+    std::uint64_t number = 0;
+};
+
+// [SECTION] Declarations
+
+struct VersionCase
+{
+    const char *name;
+    std::uint64_t version;
+    bool isProposed;
+};
+
+class Versions : public testing::TestWithParam<VersionCase>
+{ };
+
+// A version that is not above the one held is accepted and changes nothing.
+TEST_P(Versions, AreProposedOnlyAboveTheOneHeld)
+{
+    Host host(Place::Leader);
+    const OperatorActions actions = host.declare(GetParam().version);
+    EXPECT_EQ(actions.proposals.size(), GetParam().isProposed ? 1U : 0U);
+    ASSERT_EQ(actions.answers.size(), GetParam().isProposed ? 0U : 1U);
+    if (!GetParam().isProposed) {
+        EXPECT_EQ(actions.answers.at(0).outcome, OperatorOutcome::Accepted);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Operators, Versions,
+                         testing::Values(VersionCase { "Older", 4, false },
+                                         VersionCase { "Equal", 5, false },
+                                         VersionCase { "Newer", 6, true }),
+                         [](const auto &tested) { return tested.param.name; });
+
+struct CommitCase
+{
+    const char *name;
+    std::uint64_t index;
+    std::uint64_t term;
+    bool accepted;
+    bool proposedAgain;
+};
+
+class Commits : public testing::TestWithParam<CommitCase>
+{ };
+
+// The call's entry has index 8 and term 3.
+TEST_P(Commits, AcceptOnlyTheCallsOwnEntry)
+{
+    Host host(Place::Leader);
+    host.declare(6);
+    proposed(host.operators, host.number, 8, 3, host.view, host.now);
+    const OperatorActions actions = committed(host.operators, GetParam().index, GetParam().term,
+                                              host.view, host.now);
+    EXPECT_EQ(actions.answers.size(), GetParam().accepted ? 1U : 0U);
+    EXPECT_EQ(host.pass(host.operators.settings.retry).proposals.size(),
+              GetParam().proposedAgain ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Operators, Commits,
+                         testing::Values(CommitCase { "Its", 8, 3, true, false },
+                                         CommitCase { "AnEarlierOne", 7, 3, false, false },
+                                         CommitCase { "AnotherLeadersInItsPlace", 8, 4, false,
+                                                      true },
+                                         CommitCase { "ALaterOne", 9, 4, false, true }),
+                         [](const auto &tested) { return tested.param.name; });
+
+// With a single voter the log commits while it takes the proposal.
+TEST(OperatorsCommit, MayComeBeforeTheProposalIsKnown)
+{
+    Host host(Place::Leader);
+    host.declare(6);
+    committed(host.operators, 8, 3, host.view, host.now);
+    const OperatorActions actions = proposed(host.operators, host.number, 8, 3, host.view,
+                                             host.now);
+    ASSERT_EQ(actions.answers.size(), 1U);
+    EXPECT_EQ(actions.answers.at(0).outcome, OperatorOutcome::Accepted);
+}
+
+TEST(OperatorsCommit, ThatNeverComesLeavesTheCallUnsure)
+{
+    Host host(Place::Leader);
+    host.declare(6);
+    proposed(host.operators, host.number, 8, 3, host.view, host.now);
+    const Milliseconds patience = host.operators.settings.patience;
+    EXPECT_TRUE(host.pass(patience - Milliseconds(1)).answers.empty());
+    const OperatorActions actions = host.pass(Milliseconds(1));
+    ASSERT_EQ(actions.answers.size(), 1U);
+    EXPECT_EQ(actions.answers.at(0).outcome, OperatorOutcome::Unsure);
+    EXPECT_TRUE(committed(host.operators, 8, 3, host.view, host.now).answers.empty());
+}
+
+TEST(OperatorsCommit, IsAwaitedNoMoreOnceTheLogIsOpenedAnew)
+{
+    Host host(Place::Leader);
+    host.declare(6);
+    proposed(host.operators, host.number, 8, 3, host.view, host.now);
+    logReopened(host.operators);
+    EXPECT_EQ(host.pass(host.operators.settings.retry).proposals.size(), 1U);
+}
+
+// Another operator's higher version was agreed on in the meantime.
+TEST(OperatorsCommit, OfAHigherVersionEndsALowerCall)
+{
+    Host host(Place::Leader);
+    host.declare(6);
+    host.held.catalog.version = 7;
+    const OperatorActions actions = host.pass(host.operators.settings.retry);
+    ASSERT_EQ(actions.answers.size(), 1U);
+    EXPECT_EQ(actions.answers.at(0).outcome, OperatorOutcome::Accepted);
+}
+
+// [SECTION] Reads
+
+struct ReadCase
+{
+    const char *name;
+    std::uint64_t heldVersion;
+    bool confirmed;
+    std::optional<OperatorOutcome> outcome;
+};
+
+class Reads : public testing::TestWithParam<ReadCase>
+{ };
+
+TEST_P(Reads, AreAnsweredOnlyWhenConfirmed)
+{
+    Host host(Place::Leader, GetParam().heldVersion);
+    EXPECT_EQ(host.read().reads.size(), 1U);
+    const OperatorActions actions = readDone(host.operators, host.number, GetParam().confirmed,
+                                             host.view, host.now);
+    ASSERT_EQ(actions.answers.size(), GetParam().outcome ? 1U : 0U);
+    if (!GetParam().outcome)
+        return;
+    EXPECT_EQ(actions.answers.at(0).outcome, *GetParam().outcome);
+    EXPECT_EQ(actions.answers.at(0).declared.catalog.version, GetParam().heldVersion);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Operators, Reads,
+        testing::Values(ReadCase { "Confirmed", 5, true, OperatorOutcome::Accepted },
+                        ReadCase { "NothingDeclared", 0, true, OperatorOutcome::Unsure },
+                        ReadCase { "LostTheLead", 5, false, std::nullopt }),
+        [](const auto &tested) { return tested.param.name; });
+
+// [SECTION] Hosts that do not lead
+
+struct HandOverCase
+{
+    const char *name;
+    Place place;
+    bool fromPeer;
+    bool handedOver;
+    bool answeredUnsure;
+};
+
+class HandOvers : public testing::TestWithParam<HandOverCase>
+{ };
+
+TEST_P(HandOvers, GoToTheLeaderOnce)
+{
+    Host host(GetParam().place);
+    const OperatorActions actions = host.declare(6, GetParam().fromPeer);
+    EXPECT_TRUE(actions.proposals.empty());
+    EXPECT_EQ(actions.handOvers.size(), GetParam().handedOver ? 1U : 0U);
+    ASSERT_EQ(actions.answers.size(), GetParam().answeredUnsure ? 1U : 0U);
+    if (GetParam().answeredUnsure) {
+        EXPECT_EQ(actions.answers.at(0).outcome, OperatorOutcome::Unsure);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Operators, HandOvers,
+        testing::Values(HandOverCase { "FromAnOperator", Place::Follower, false, true, false },
+                        HandOverCase { "WithoutALeader", Place::Alone, false, false, false },
+                        HandOverCase { "FromAnotherHost", Place::Follower, true, false, true },
+                        HandOverCase { "ToAHostThatIsAboutToLead", Place::NamedLeader, true, false,
+                                       false }),
+        [](const auto &tested) { return tested.param.name; });
+
+TEST(OperatorsHandOver, IsTriedAgainWhenTheOtherHostIsUnsure)
+{
+    Host host(Place::Follower);
+    host.declare(6);
+    OperatorAnswer unsure;
+    unsure.number = host.number;
+    EXPECT_TRUE(peerAnswered(host.operators, unsure, host.view, host.now).answers.empty());
+    EXPECT_EQ(host.pass(host.operators.settings.retry).handOvers.size(), 1U);
+}
+
+TEST(OperatorsHandOver, GivesTheOperatorWhatTheLeaderSaid)
+{
+    Host host(Place::Follower);
+    host.read();
+    OperatorAnswer given;
+    given.number = host.number;
+    given.outcome = OperatorOutcome::Accepted;
+    given.declared.catalog.version = 9;
+    const OperatorActions actions = peerAnswered(host.operators, given, host.view, host.now);
+    ASSERT_EQ(actions.answers.size(), 1U);
+    EXPECT_TRUE(actions.answers.at(0).isRead);
+    EXPECT_EQ(actions.answers.at(0).declared.catalog.version, 9U);
+}
+
+} // namespace
+} // namespace foxwing::operators
