Order an unanswered start again instead of stopping it

Cause: with half of the orders unanswered, service fell to 5 to 13 of 100 jobs in aim: each unanswered start was stopped (the stop as often unanswered), counted against its endpoint until all were on trial, and held one of eight connections for 60 ms; four unanswered looks, one time in sixteen, put an endpoint out of reach, and its runs lapsed. Change: the same start is ordered again under the same number, which the endpoint takes once, for up to 150 ms; only then it is stopped. A refusal of a later try proves nothing of the first: the run is stopped, or, if the endpoint says that it is over, its end is awaited. Orders and looks are given up after 25 ms; seven looks before out of reach, and shorter ones after a failed look; 16 connections. Tests: the row that wanted a stop at once is replaced by the new path (ordered again; stopped once given up; a table of what a refused second try means), and a replay of each.

--- a/packages/fleet/src/agentshell.cpp
+++ b/packages/fleet/src/agentshell.cpp
@@ -23,10 +23,10 @@
 
 // An order to the endpoint, on the same host, is answered in a few milliseconds; what is not there
 // by then is counted as unanswered.
-constexpr Milliseconds OrderTimeout { 60 };
+constexpr Milliseconds OrderTimeout { 25 };
 
 // On top of the time that a look waits at the endpoint.
-constexpr Milliseconds LookTimeout { 40 };
+constexpr Milliseconds LookTimeout { 25 };
 
 // Before the end of the stop grace what still runs is stopped, so that its entries can start it
 // elsewhere.
@@ -91,9 +91,10 @@
 
 fabric::HttpClientSettings AgentShell::clientSettings()
 {
-    // One for the look and a few for orders; each costs a connection at the endpoint.
+    // One for the look and one for each of the starts that fill an endpoint (10 to 15 tasks), so
+    // that orders without an answer hold up no others. Opened only when needed.
     fabric::HttpClientSettings settings;
-    settings.mostConnections = 8;
+    settings.mostConnections = 16;
     return settings;
 }
 
--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -55,10 +55,20 @@
     // look returns, so well under leaseSpan.
     Milliseconds idleWait { 200 };
 
+    // A start without an answer is ordered again, under the same number, until it is this old; then
+    // the run is stopped. With half of all orders lost, six tries of 25 ms each leave 2 of 100
+    // starts to be stopped.
+    Milliseconds startGivenUp { 150 };
+
+    // While a look has failed within this span, others wait at the endpoint for no longer than
+    // doubtfulWait: what an unanswered one would have brought comes so much later.
+    Milliseconds doubtfulSpan { 1000 };
+    Milliseconds doubtfulWait { 20 };
+
     // Looks that fail in a row before the endpoint counts as out of reach. Until then each is
     // followed by a quick one at once, which renews the lease as well; on days on which half of the
-    // orders get no answer, one of four is answered nearly always.
-    std::uint32_t looksBeforeOutOfReach { 4 };
+    // orders get no answer, one of seven is answered but for one time in a hundred.
+    std::uint32_t looksBeforeOutOfReach { 7 };
 
     // Between looks at an endpoint that is out of reach, or whose earlier runs are being stopped.
     Milliseconds lookPause { 40 };
@@ -208,9 +218,13 @@
 struct Run
 {
     std::uint64_t session = 0;
+    std::string payload;
     jobs::Room room;
     Milliseconds estimate { 0 };
     RunState state = RunState::Ordered;
+
+    // How often its start was ordered
+    std::uint32_t tries = 0;
     Time orderedAt {};
     Time startedAt {};
 
@@ -294,6 +308,7 @@
     Time nextLook {};
     std::uint64_t lastSeen = 0;
     std::uint32_t looksFailed = 0;
+    std::optional<Time> lookFailedAt;
 
     // Judgement of the endpoint
     double bad = 0;
--- a/packages/runner/src/offer.cpp
+++ b/packages/runner/src/offer.cpp
@@ -176,9 +176,12 @@
     look.lastSeen = runner.lastSeen;
     const bool quick = !runner.clean || !runner.clockSample || runner.looksFailed > 0;
     const bool busy = !runner.runs.empty();
-    look.wait = quick ? Milliseconds(0)
-            : busy    ? runner.settings.busyWait
-                      : runner.settings.idleWait;
+    const bool doubtful = runner.lookFailedAt
+            && now < *runner.lookFailedAt + runner.settings.doubtfulSpan;
+    look.wait = quick          ? Milliseconds(0)
+            : busy && doubtful ? runner.settings.doubtfulWait
+            : busy             ? runner.settings.busyWait
+                               : runner.settings.idleWait;
     // Not while the endpoint is out of reach: its lease must come to an end that is known here.
     if (busy && !isOutOfReach(runner))
         look.deadline = leaseDeadline(runner, now);
--- a/packages/runner/src/runner.cpp
+++ b/packages/runner/src/runner.cpp
@@ -291,25 +291,33 @@
     return sameTask ? RefusedStart::NotReady : RefusedStart::None;
 }
 
+// Needs a lease deadline.
+void orderStart(RunnerState &runner, const RunId &id, Run &run, Time now, RunnerActions &actions)
+{
+    StartOrder order;
+    order.id = id;
+    order.payload = run.payload;
+    order.deadline = *leaseDeadline(runner, now);
+    order.fence = runner.fence;
+    order.life = runner.endpoint.life;
+    runner.leaseUntil = std::max(runner.leaseUntil, order.deadline);
+    ++run.tries;
+    actions.starts.push_back(std::move(order));
+}
+
 void start(RunnerState &runner, std::uint64_t session, const jobs::StartTasks &message,
            const RunId &id, Time now, RunnerActions &actions)
 {
     Run run;
     run.session = session;
+    run.payload = message.payload;
     run.room = message.room;
     run.estimate = message.estimate;
     run.orderedAt = now;
     run.progressAt = now;
-    StartOrder order;
-    order.id = id;
-    order.payload = message.payload;
-    order.deadline = *leaseDeadline(runner, now);
-    order.fence = runner.fence;
-    order.life = runner.endpoint.life;
-    runner.leaseUntil = std::max(runner.leaseUntil, order.deadline);
-    runner.runs.emplace(id, run);
+    orderStart(runner, id, run, now, actions);
+    runner.runs.emplace(id, std::move(run));
     ++runner.started;
-    actions.starts.push_back(std::move(order));
 }
 
 } // namespace
@@ -408,14 +416,41 @@
     run.progressAt = now;
 }
 
-// The run may still begin: it is stopped, so that it can't any more.
+// The order may have been lost, its answer may have been, or it is still to be carried out. The
+// same start again is safe: the endpoint takes a run once. After some tries the run is stopped, so
+// that it can't begin any more.
 void startUnanswered(RunnerState &runner, const RunId &id, Run &run, Time now,
                      RunnerActions &actions)
 {
     ++runner.unanswered;
+    if (run.state != RunState::Ordered)
+        return;
+    if (now < run.orderedAt + runner.settings.startGivenUp && leaseDeadline(runner, now))
+        return orderStart(runner, id, run, now, actions);
     noteBad(runner, now);
-    if (run.state == RunState::Ordered)
-        beginStopping(runner, id, run, "its start was not answered", now, actions);
+    beginStopping(runner, id, run, "its start was not answered", now, actions);
+}
+
+// The endpoint will not start it. If it was ordered more than once, an earlier order may have been
+// carried out, or may be yet.
+void startRefused(RunnerState &runner, const RunId &id, Run &run, Answer answer, Time now,
+                  RunnerActions &actions)
+{
+    actions.events.push_back(runEvent("start-refused", id)
+                                     .with("answer", toString(answer))
+                                     .with("tries", run.tries));
+    if (answer == Answer::Busy || answer == Answer::Unreachable)
+        noteBad(runner, now);
+    if (run.tries <= 1 || answer == Answer::OtherLife) {
+        endRun(runner, id, RunEnd::NeverBegan, refusedFor(answer), now, actions);
+    } else if (answer == Answer::OldRun) {
+        // It has run, and its end is in a look that is on its way or in the next.
+        run.seen = true;
+        run.goneIfMissingIn = runner.lookNumber + 1;
+    } else {
+        beginStopping(runner, id, run, "its start was refused after an unanswered one", now,
+                      actions);
+    }
 }
 
 } // namespace
@@ -441,11 +476,7 @@
             startUnanswered(runner, id, found->second, now, actions);
         break;
     default:
-        actions.events.push_back(
-                runEvent("start-refused", id).with("answer", toString(answered.answer)));
-        if (answered.answer == Answer::Busy || answered.answer == Answer::Unreachable)
-            noteBad(runner, now);
-        endRun(runner, id, RunEnd::NeverBegan, refusedFor(answered.answer), now, actions);
+        startRefused(runner, id, found->second, answered.answer, now, actions);
         break;
     }
     finishEvent(runner, now, actions);
@@ -529,6 +560,7 @@
 void lookFailed(RunnerState &runner, const Answered &answered, Time now, RunnerActions &actions)
 {
     ++runner.looksFailed;
+    runner.lookFailedAt = now;
     const std::uint32_t most = runner.settings.looksBeforeOutOfReach;
     const std::uint32_t pauses = runner.looksFailed - std::min(runner.looksFailed, most - 1);
     runner.nextLook = now + runner.settings.lookPause * std::min(pauses, MostPauses);
--- a/packages/runner/tests/runner_test.cpp
+++ b/packages/runner/tests/runner_test.cpp
@@ -154,7 +154,8 @@
                 StartCase { "OutOfReach",
                             [](Bench &b) {
                                 b.failLook = true;
-                                for (int i = 0; i < 4; ++i) {
+                                const auto most = b.runner.settings.looksBeforeOutOfReach;
+                                for (std::uint32_t i = 0; i < most; ++i) {
                                     b.answerLook({});
                                     b.pass(Milliseconds(100));
                                 }
@@ -230,12 +231,31 @@
 
 // [SECTION] Unanswered orders
 
-TEST(RunnerUnanswered, AStartWithoutAnAnswerIsStoppedAndKeepsItsRoom)
+TEST(RunnerUnanswered, AStartIsOrderedAgainUnderTheSameNumber)
+{
+    Bench bench;
+    const StartOrder first = bench.start(1, 4000).starts.at(0);
+    bench.pass(Milliseconds(25));
+    const RunnerActions again = startAnswered(bench.runner, runId(1), { Answer::None, {} },
+                                              bench.now);
+    ASSERT_EQ(again.starts.size(), 1U);
+    EXPECT_TRUE(again.stops.empty());
+    EXPECT_EQ(again.starts[0].id, first.id);
+    EXPECT_EQ(again.starts[0].payload, first.payload);
+    EXPECT_GT(again.starts[0].deadline, first.deadline);
+    EXPECT_EQ(endsIn(bench.start(2, 1)).at(0).refused, RefusedStart::NoRoom);
+    startAnswered(bench.runner, runId(1), { Answer::Ok, bench.clock() }, bench.now);
+    EXPECT_EQ(bench.runner.runs.at(runId(1)).state, RunState::Running);
+}
+
+TEST(RunnerUnanswered, AStartThatIsNeverAnsweredIsStoppedAndKeepsItsRoom)
 {
     Bench bench;
     bench.start(1, 4000);
+    bench.pass(bench.runner.settings.startGivenUp);
     const RunnerActions stopped = startAnswered(bench.runner, runId(1), { Answer::None, {} },
                                                 bench.now);
+    EXPECT_TRUE(stopped.starts.empty());
     ASSERT_EQ(stopped.stops.size(), 1U);
     EXPECT_EQ(stopped.stops[0].id, runId(1));
     // A look that was under way says nothing of what comes after it.
@@ -254,6 +274,78 @@
     EXPECT_EQ(ends[0].end, RunEnd::NeverBegan);
 }
 
+struct SecondTryCase
+{
+    const char *name;
+    Answer answer;
+
+    // Told as never begun at once, or stopped first
+    bool ends;
+    bool stopped;
+};
+
+std::ostream &operator<<(std::ostream &out, const SecondTryCase &tested)
+{
+    return out << tested.name;
+}
+
+class SecondTries : public testing::TestWithParam<SecondTryCase>
+{ };
+
+// The first order may have been carried out, or may be yet: a refusal of the second proves nothing.
+TEST_P(SecondTries, ThatAreRefusedAreNotTakenAsNeverBegun)
+{
+    Bench bench;
+    bench.start(1);
+    startAnswered(bench.runner, runId(1), { Answer::None, {} }, bench.now);
+    const RunnerActions actions = startAnswered(bench.runner, runId(1), { GetParam().answer, {} },
+                                                bench.now);
+    EXPECT_EQ(endsIn(actions).size(), GetParam().ends ? 1U : 0U);
+    EXPECT_EQ(actions.stops.size(), GetParam().stopped ? 1U : 0U);
+    EXPECT_EQ(bench.runner.runs.size(), GetParam().ends ? 0U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Runner, SecondTries,
+        testing::Values(SecondTryCase { "NoRoom", Answer::NoRoom, false, true },
+                        SecondTryCase { "TooLate", Answer::TooLate, false, true },
+                        SecondTryCase { "Busy", Answer::Busy, false, true },
+                        SecondTryCase { "Invalid", Answer::Invalid, false, true },
+                        SecondTryCase { "Unreachable", Answer::Unreachable, false, true },
+                        SecondTryCase { "OldRun", Answer::OldRun, false, false },
+                        SecondTryCase { "OtherLife", Answer::OtherLife, true, false }),
+        [](const auto &tested) { return tested.param.name; });
+
+// The first order was carried out and its answer lost; the run is over before the second order.
+TEST(RunnerUnanswered, ARunThatIsOverBeforeTheSecondTryIsDone)
+{
+    Bench bench;
+    bench.start(1);
+    startAnswered(bench.runner, runId(1), { Answer::None, {} }, bench.now);
+    EXPECT_TRUE(endsIn(startAnswered(bench.runner, runId(1), { Answer::OldRun, {} }, bench.now))
+                        .empty());
+    Look look;
+    look.ended = { { 1, runId(1), RunEnd::Done } };
+    const auto ends = endsIn(bench.answerLook(look));
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].end, RunEnd::Done);
+}
+
+// Waits of looks: an unanswered one must not keep ends back for long.
+TEST(RunnerUnanswered, LooksWaitLessAfterOneHasFailed)
+{
+    Bench bench;
+    bench.start(1);
+    startAnswered(bench.runner, runId(1), { Answer::Ok, bench.clock() }, bench.now);
+    EXPECT_EQ(bench.answerLook({}).look->wait, bench.runner.settings.busyWait);
+    bench.failLook = true;
+    EXPECT_EQ(bench.answerLook({}).look->wait, Milliseconds(0));
+    bench.failLook = false;
+    EXPECT_EQ(bench.answerLook({}).look->wait, bench.runner.settings.doubtfulWait);
+    bench.pass(bench.runner.settings.doubtfulSpan);
+    EXPECT_EQ(bench.answerLook({}).look->wait, bench.runner.settings.busyWait);
+}
+
 TEST(RunnerUnanswered, ALookThatShowsTheRunIsAsGoodAsAnAnswer)
 {
     Bench bench;
--- a/tests/fleet/replay_test.cpp
+++ b/tests/fleet/replay_test.cpp
@@ -256,8 +256,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Fleet, Replay,
-                         testing::Values("served", "fails_then_served", "unanswered", "caller_gone",
-                                         "draining", "refused"),
+                         testing::Values("served", "fails_then_served", "unanswered",
+                                         "never_answered", "caller_gone", "draining", "refused"),
                          [](const auto &tested) { return std::string(tested.param); });
 
 } // namespace
