--- a/packages/fleet/include/foxwing/fleet/settings.h
+++ b/packages/fleet/include/foxwing/fleet/settings.h
@@ -51,6 +51,9 @@
     // The whole fleet starts for the first time: the seeds found the agreement group.
     bool firstStart = false;
 
+    // Control hosts that may be lost at once; the agreement group keeps enough voters for that.
+    std::uint32_t toleratedLosses = 2;
+
     // [listen], as far as the role needs it
     std::string callers;
     std::string readiness;
--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -40,6 +40,9 @@
 constexpr Milliseconds ElectionSpan { 400 };
 constexpr Milliseconds HeartbeatInterval { 80 };
 
+// Voters beyond those that the tolerated losses need: hosts on their way in while others leave.
+constexpr std::size_t SpareVoters = 2;
+
 // The members of the group are looked over this often.
 constexpr Milliseconds MembersInterval { 200 };
 
@@ -289,6 +292,9 @@
     settings.quorum.seed = device();
     settings.quorum.firstVoters = firstVotersFor(m_core.settings, m_core.self.groupId);
     settings.quorum.selfManaged = true;
+    settings.quorum.leastVoters = 2 * m_core.settings.toleratedLosses + 1;
+    settings.quorum.mostVoters = std::max(settings.quorum.mostVoters,
+                                          settings.quorum.leastVoters + SpareVoters);
     settings.quorum.electionSpan = ElectionSpan;
     settings.quorum.heartbeatInterval = HeartbeatInterval;
     settings.dataFolder = m_core.settings.dataFolder + "/journal";
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -19,6 +19,9 @@
 
 constexpr int HighestPort = 65535;
 
+// Groups beyond this many voters agree too slowly; the library's own bound is far above it.
+constexpr std::int64_t MostToleratedLosses = 7;
+
 // An agent's silence bound and its endpoint's lease must end a run before its caller sends the job
 // again.
 constexpr Milliseconds ResendMargin { 100 };
@@ -49,6 +52,7 @@
     table.whole("inner_port", settings.innerPort, 1, HighestPort);
     table.list("seeds", settings.seeds);
     table.flag("first_start", settings.firstStart);
+    table.whole("tolerated_losses", settings.toleratedLosses, 0, MostToleratedLosses);
     if (settings.innerPort == 0)
         table.refuse("inner_port", "must be the port for the fleet's own messages");
     if (settings.seeds.empty())
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -23,6 +23,7 @@
 inner_port = 7720
 seeds = ["10.1.0.17:8166","10.2.0.34:8166"]
 first_start = true
+tolerated_losses = 1
 
 [listen]
 metrics = "10.1.0.13:9464"
@@ -47,6 +48,7 @@
     ASSERT_TRUE(settings) << reason.message;
     EXPECT_EQ(settings->role, directory::Role::Entry);
     EXPECT_TRUE(settings->firstStart);
+    EXPECT_EQ(settings->toleratedLosses, 1U);
     EXPECT_EQ(innerAddress(*settings), "10.1.0.13:7720");
     EXPECT_EQ(seedAddresses(*settings),
               (std::vector<std::string> { "10.1.0.17:7720", "10.2.0.34:7720" }));
@@ -89,6 +91,7 @@
                 BadCase { "UnknownKey", "first_start = true", "first = true", "first" },
                 BadCase { "AgentWithoutEndpoint", "\"entry\"", "\"agent\"", "control" },
                 BadCase { "ControlWithoutFolder", "\"entry\"", "\"control\"", "data_folder" },
+                BadCase { "Losses", "losses = 1", "losses = 80", "tolerated_losses" },
                 BadCase { "Order", "\"latest-begin\"", "\"sideways\"", "order" },
                 BadCase { "Margin", "= 20", "= -1", "margin_percent" },
                 BadCase { "Grace", "= 6", "= \"long\"", "stop_grace" }),
--- a/packages/quorum/include/foxwing/quorum/quorum.h
+++ b/packages/quorum/include/foxwing/quorum/quorum.h
@@ -55,9 +55,15 @@
     // on the way.
     bool selfManaged = false;
 
-    // A self-managed group removes a voter that was not heard for this long, if enough are left.
-    // Longer than any restart or cut that a host is to return from.
-    Milliseconds forgetVoterAfter { 20000 };
+    // A self-managed group removes a learner that was not heard for this long. Longer than any
+    // restart or cut that a host is to return from.
+    Milliseconds forgetLearnerAfter { 20000 };
+
+    // A voter that was not heard for this long is removed if leastVoters others are there: a host
+    // that was replaced must not count among those that may be lost. One that comes back is brought
+    // in again. Above a heartbeat that is lost and sent again by the kernel (1 s), and well under
+    // the 4 s after which the users count a replacement in full.
+    Milliseconds dropSpareAfter { 1500 };
 
     // Voters that a self-managed group keeps, however long they are silent: with five, two may be
     // lost at once.
--- a/packages/quorum/src/members.cpp
+++ b/packages/quorum/src/members.cpp
@@ -126,11 +126,23 @@
     });
 }
 
-bool isSilent(const QuorumState &quorum, const std::string &id, Time now)
+bool heardWithin(const QuorumState &quorum, const std::string &id, Milliseconds span, Time now)
 {
     const auto peer = quorum.peers.find(id);
-    return peer != quorum.peers.end() && peer->second.heardAt != Time {}
-    && now > peer->second.heardAt + quorum.settings.forgetVoterAfter;
+    return id == quorum.settings.self
+            || (peer != quorum.peers.end() && now <= peer->second.heardAt + span);
+}
+
+// A voter that is away, with enough others there.
+bool isSpare(const QuorumState &quorum, const std::string &id, Time now)
+{
+    const Milliseconds span = quorum.settings.dropSpareAfter;
+    const auto there = std::count_if(quorum.members.voters.begin(), quorum.members.voters.end(),
+                                     [&](const std::string &voter) {
+                                         return heardWithin(quorum, voter, span, now);
+                                     });
+    return !heardWithin(quorum, id, span, now)
+            && static_cast<std::size_t>(there) >= quorum.settings.leastVoters;
 }
 
 bool isCandidate(const std::string &id, const std::vector<Candidate> &candidates)
@@ -156,8 +168,8 @@
     Members members = quorum.members;
     const std::size_t count = members.voters.size();
     for (const std::string &id : members.voters) {
-        const bool spare = count > quorum.settings.leastVoters && isSilent(quorum, id, now);
-        if (id == quorum.settings.self || (!isReplaced(id, candidates) && !spare))
+        if (id == quorum.settings.self
+            || (!isReplaced(id, candidates) && !isSpare(quorum, id, now)))
             continue;
         Members fewer = members;
         drop(fewer.voters, id);
@@ -166,7 +178,8 @@
     for (const std::string &id : members.learners) {
         Members changed = members;
         drop(changed.learners, id);
-        if (isReplaced(id, candidates) || isSilent(quorum, id, now))
+        if (isReplaced(id, candidates)
+            || !heardWithin(quorum, id, quorum.settings.forgetLearnerAfter, now))
             return changed;
         changed.voters.push_back(id);
         if (caughtUp(quorum, id) && isCandidate(id, candidates)
--- a/packages/quorum/tests/members_test.cpp
+++ b/packages/quorum/tests/members_test.cpp
@@ -109,6 +109,9 @@
 {
     const char *name;
     std::size_t voters;
+
+    // How many of them are away, and for how long
+    std::size_t away;
     Milliseconds silent;
     bool removed;
 };
@@ -123,16 +126,26 @@
         voters.push_back(std::string(1, static_cast<char>('a' + i)) + "/1");
     QuorumState quorum = makeLeader(voters);
     const Time later = Now + GetParam().silent;
-    for (auto &[id, peer] : quorum.peers)
-        peer.heardAt = id == "b/1" ? Now : later;
-    EXPECT_EQ(adviseMembers(quorum, {}, later).has_value(), GetParam().removed);
+    for (std::size_t i = 0; i < voters.size(); ++i)
+        quorum.peers[voters[i]].heardAt = i >= 1 && i <= GetParam().away ? Now : later;
+    const auto members = adviseMembers(quorum, {}, later);
+    ASSERT_EQ(members.has_value(), GetParam().removed);
+    if (members) {
+        EXPECT_EQ(members->voters.size(), GetParam().voters - 1);
+        EXPECT_EQ(std::count(members->voters.begin(), members->voters.end(), "b/1"), 0);
+    }
 }
 
-INSTANTIATE_TEST_SUITE_P(Quorum, Silence,
-                         testing::Values(SilenceCase { "Five", 5, Seconds(60), false },
-                                         SilenceCase { "SixForLong", 6, Seconds(60), true },
-                                         SilenceCase { "SixForAMoment", 6, Seconds(2), false }),
-                         [](const auto &tested) { return tested.param.name; });
+// A group of five that must bear the loss of two at once.
+INSTANTIATE_TEST_SUITE_P(
+        Quorum, Silence,
+        testing::Values(SilenceCase { "Five", 5, 1, Seconds(60), false },
+                        SilenceCase { "SixForLong", 6, 1, Seconds(60), true },
+                        SilenceCase { "SixAfterAReplacement", 6, 1, Seconds(2), true },
+                        SilenceCase { "SixForAMoment", 6, 1, Milliseconds(1400), false },
+                        SilenceCase { "SixWithTwoAway", 6, 2, Seconds(60), false },
+                        SilenceCase { "SevenWithTwoAway", 7, 2, Seconds(60), true }),
+        [](const auto &tested) { return tested.param.name; });
 
 TEST(QuorumMembers, NothingChangesWhileAChangeIsUnderWayOrElsewhere)
 {
