--- a/packages/fleet/src/operatorshell.cpp
+++ b/packages/fleet/src/operatorshell.cpp
@@ -1,4 +1,6 @@
 /*
+    Operators' exchanges around the decisions of foxwing/operators.
+
     [SECTION] Calls
     [SECTION] Actions
     [SECTION] Metrics
