--- a/packages/fabric/include/foxwing/fabric/link.h
+++ b/packages/fabric/include/foxwing/fabric/link.h
@@ -135,6 +135,10 @@
     // The connection that onConnected handed over is gone: dials anew.
     void lost();
 
+    // The other side is known to be there: dials at once in place of waiting out a pause or a try
+    // that began before. Changes nothing while a connection is there.
+    void dialNow();
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/packages/fabric/src/link.cpp
+++ b/packages/fabric/src/link.cpp
@@ -226,10 +226,22 @@
         timer.cancel();
         if (!connected)
             return wait();
+        linked = true;
         pause = settings.firstPause;
         onConnected(std::make_shared<Link>(std::move(socket), settings.limits));
     }
 
+    void dialNow()
+    {
+        if (stopped || linked)
+            return;
+        timer.cancel();
+        boost::system::error_code ignored;
+        socket.close(ignored);
+        pause = settings.firstPause;
+        dial();
+    }
+
     void wait()
     {
         boost::system::error_code ignored;
@@ -249,6 +261,7 @@
     Milliseconds pause;
     Connected onConnected;
     std::uint64_t attempts = 0;
+    bool linked = false;
     bool stopped = false;
 };
 
@@ -274,8 +287,14 @@
 
 void Dialer::lost()
 {
+    m_state->linked = false;
     if (!m_state->stopped)
         m_state->wait();
 }
 
+void Dialer::dialNow()
+{
+    m_state->dialNow();
+}
+
 } // namespace foxwing::fabric
--- a/packages/fabric/tests/link_test.cpp
+++ b/packages/fabric/tests/link_test.cpp
@@ -148,5 +148,30 @@
     EXPECT_TRUE(pair.until([&] { return connections == 2; }));
 }
 
+// Nobody listens at first, and the pause after that is longer than the test waits.
+TEST(FabricDialer, DialsAtOnceWhenToldThatTheOtherSideIsThere)
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io);
+    const asio::ip::tcp::endpoint address(asio::ip::address_v4::loopback(), 0);
+    acceptor.open(address.protocol());
+    acceptor.bind(address);
+    const std::string name = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    DialerSettings settings;
+    settings.firstPause = Seconds(600);
+    int connections = 0;
+    Dialer dialer(io, name, settings, [&](const std::shared_ptr<Link> &) { ++connections; });
+    io.run_for(Milliseconds(20));
+    EXPECT_EQ(connections, 0);
+    acceptor.listen();
+    dialer.dialNow();
+    for (int i = 0; i < 1000 && connections == 0; ++i)
+        io.run_one_for(Milliseconds(5));
+    EXPECT_EQ(connections, 1);
+    dialer.dialNow();
+    io.run_for(Milliseconds(20));
+    EXPECT_EQ(connections, 1);
+}
+
 } // namespace
 } // namespace foxwing::fabric
--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -40,6 +40,10 @@
 constexpr Milliseconds ElectionSpan { 400 };
 constexpr Milliseconds HeartbeatInterval { 80 };
 
+// The first election after a start: hosts of one region find each other within 10 ms. With 100 ms,
+// calls that came in the 0.16 to 0.22 s after a restart of everything found no catalog.
+constexpr Milliseconds FirstElectionSpan { 20 };
+
 // Voters beyond those that the tolerated losses need: hosts on their way in while others leave.
 constexpr std::size_t SpareVoters = 2;
 
@@ -56,6 +60,12 @@
 // Time for the last answers of a stopping control host.
 constexpr Milliseconds StopSpan { 150 };
 
+// Members are named by an address and a disk.
+std::string addressOf(const std::string &member)
+{
+    return member.substr(0, member.find('/'));
+}
+
 struct InnerPeer
 {
     std::shared_ptr<fabric::Link> link;
@@ -104,6 +114,7 @@
     bool startReplica(Error *reason);
     replica::ReplicaEvents replicaEvents();
     void keepControl(const std::string &address);
+    void controlIsThere(const std::string &address);
     void controlReceived(const std::string &address, std::string_view bytes);
     void sendToMember(const std::string &to, const quorum::QuorumMessage &message);
     bool committed(const std::string &text, std::uint64_t index, std::uint64_t term, Error *reason);
@@ -156,6 +167,9 @@
     if (!m_listener || !m_server)
         return false;
     reloaded();
+    // Not only the seeds: those may be the ones that are still without power.
+    for (const std::string &voter : m_replica->state().members.voters)
+        keepControl(addressOf(voter));
     return true;
 }
 
@@ -204,7 +218,7 @@
                            .with("role", toString(peer.node.role))
                            .with("address", peer.node.address));
         if (peer.node.role == directory::Role::Control)
-            keepControl(peer.node.address);
+            controlIsThere(peer.node.address);
         tellCatalog();
     } else if (const auto *group = std::get_if<GroupFrame>(&*frame)) {
         Error reason;
@@ -296,6 +310,7 @@
     settings.quorum.mostVoters = std::max(settings.quorum.mostVoters,
                                           settings.quorum.leastVoters + SpareVoters);
     settings.quorum.electionSpan = ElectionSpan;
+    settings.quorum.firstElectionSpan = FirstElectionSpan;
     settings.quorum.heartbeatInterval = HeartbeatInterval;
     settings.dataFolder = m_core.settings.dataFolder + "/journal";
     settings.snapshotEvery = SnapshotEvery;
@@ -356,9 +371,19 @@
                             });
                 link->send(encodeFrame(Frame(directory::Announce { m_core.self })));
                 writeEvent(m_core.log, change("control-connected").with("host", address));
+                m_replica->voterReached();
             });
 }
 
+// It has just dialled this host, so it need not be waited for any longer.
+void ControlShell::controlIsThere(const std::string &address)
+{
+    keepControl(address);
+    const auto peer = m_controls.find(address);
+    if (peer != m_controls.end() && !peer->second.link)
+        peer->second.dialer->dialNow();
+}
+
 void ControlShell::controlReceived(const std::string &address, std::string_view bytes)
 {
     m_controls.at(address).heardAt = steadyNow();
@@ -375,12 +400,6 @@
     }
 }
 
-// Members are named by an address and a disk.
-std::string addressOf(const std::string &member)
-{
-    return member.substr(0, member.find('/'));
-}
-
 void ControlShell::sendToMember(const std::string &to, const quorum::QuorumMessage &message)
 {
     const std::string address = addressOf(to);
--- a/packages/quorum/include/foxwing/quorum/quorum.h
+++ b/packages/quorum/include/foxwing/quorum/quorum.h
@@ -46,8 +46,15 @@
 
     // The same for the first election after a start, when there may be no leader at all. The vote
     // before the vote keeps it from disturbing a leader that is there.
+    // Also the pause after which a host without a leader asks again once something has changed that
+    // speaks for it: a voter that it now reaches, or a vote that it refused for a shorter log.
     Milliseconds firstElectionSpan { 100 };
 
+    // A host without a leader that has helped another one in the vote before the vote asks no
+    // sooner than this: two that ask at the same moment can take each other's votes, and a whole
+    // election span is lost. Longer than two syncs of a disk at 9 ms and a round trip.
+    Milliseconds yieldSpan { 50 };
+
     // Entries in one message
     std::size_t mostEntries = 64;
 
@@ -138,6 +145,10 @@
     std::uint64_t leaderCommit = 0;
     std::uint64_t applied = 0;
     Time electionAt {};
+    Time yieldUntil {};
+
+    // Since a leader was heard: a host with an older log than this one's has asked for votes.
+    bool refusedOlderLog = false;
     Time leaderHeardAt {};
     std::set<std::string> votes;
 
@@ -204,6 +215,10 @@
 QuorumActions handle(QuorumState &quorum, const QuorumMessage &message, Time now);
 QuorumActions tick(QuorumState &quorum, Time now);
 
+// A connection to a voter is there again. Without a leader this host then asks for votes soon: with
+// the voter that was missing there may be a majority.
+void voterReached(QuorumState &quorum, Time now);
+
 // All records up to this number are on disk.
 QuorumActions synced(QuorumState &quorum, std::uint64_t syncNumber, Time now);
 
--- a/packages/quorum/src/election.cpp
+++ b/packages/quorum/src/election.cpp
@@ -7,6 +7,8 @@
 */
 #include "internal.h"
 
+#include <algorithm>
+
 #include <foxwing/base/guards.h>
 
 namespace foxwing::quorum {
@@ -31,14 +33,55 @@
     }
     quorum.role = Role::Follower;
     quorum.leader = leader;
+    quorum.refusedOlderLog = quorum.refusedOlderLog && leader.empty();
     quorum.votes.clear();
     setElectionTime(quorum, now, quorum.settings.electionSpan);
 }
 
 // [SECTION] Asking
 
+// Also a host that a change of members removes, as long as it does not know that the change is
+// committed, and a learner whose log is newer than that of a voter who asked: either may be the
+// only one with the newest log. Votes are counted from voters only. A host that was removed for
+// good never asks: it would lead, step down and lead again.
+static bool mayLead(const QuorumState &quorum)
+{
+    const std::vector<std::string> &learners = quorum.members.learners;
+    const bool learns = std::find(learners.begin(), learners.end(), quorum.settings.self)
+            != learners.end();
+    return quorum.joined
+            && (isVoter(quorum, quorum.settings.self) || quorum.membersIndex > quorum.commit
+                || (learns && quorum.refusedOlderLog));
+}
+
 namespace {
 
+// Something speaks for another try, so it need not wait for the end of the election span. After a
+// loss of power in all places the first start of a task came 0.15 s sooner.
+void askSoon(QuorumState &quorum, Time now)
+{
+    if (!quorum.leader.empty() || quorum.role == Role::Leader || quorum.role == Role::Candidate)
+        return;
+    std::uniform_int_distribution<std::int64_t>
+            extra(0, Microseconds(quorum.settings.firstElectionSpan).count());
+    const Time soon = std::max(now + Microseconds(extra(quorum.random)), quorum.yieldUntil);
+    quorum.electionAt = std::min(quorum.electionAt, soon);
+}
+
+void refuseOlderLog(QuorumState &quorum, Time now)
+{
+    quorum.refusedOlderLog = true;
+    askSoon(quorum, now);
+}
+
+void yieldTo(QuorumState &quorum, Time now)
+{
+    if (!quorum.leader.empty())
+        return;
+    quorum.yieldUntil = now + quorum.settings.yieldSpan;
+    quorum.electionAt = std::max(quorum.electionAt, quorum.yieldUntil);
+}
+
 void askForVotes(QuorumState &quorum, bool pre, QuorumActions &actions)
 {
     VoteRequest request;
@@ -72,12 +115,9 @@
 
 } // namespace
 
-// Also a host that a change of members removes, as long as it does not know that the change is
-// committed: it may be the only one with the longest log.
-static bool mayLead(const QuorumState &quorum)
+void voterReached(QuorumState &quorum, Time now)
 {
-    return quorum.joined
-            && (isVoter(quorum, quorum.settings.self) || quorum.membersIndex > quorum.commit);
+    askSoon(quorum, now);
 }
 
 void tickElection(QuorumState &quorum, Time now, QuorumActions &actions)
@@ -144,6 +184,10 @@
         reply.granted = request.term > quorum.term && upToDate(quorum, request);
         if (!reply.granted)
             reply.term = quorum.term;
+        if (reply.granted)
+            yieldTo(quorum, now);
+        else if (!upToDate(quorum, request))
+            refuseOlderLog(quorum, now);
         return sendAfterSync(quorum, request.from, reply, actions);
     }
     if (request.term > quorum.term)
--- a/packages/quorum/src/replication.cpp
+++ b/packages/quorum/src/replication.cpp
@@ -275,7 +275,7 @@
                 && now < peer->second.heardAt + quorum.settings.electionSpan;
     });
     const bool removed = !isVoter(quorum, quorum.settings.self)
-            && quorum.commit >= quorum.membersIndex;
+            && quorum.commit >= std::max(quorum.membersIndex, quorum.termStart);
     if ((!heard && holds(Guard::QuorumCheck)) || removed)
         return becomeFollower(quorum, quorum.term, {}, now, actions);
     if (now >= quorum.nextHeartbeat) {
--- a/packages/replica/include/foxwing/replica/replica.h
+++ b/packages/replica/include/foxwing/replica/replica.h
@@ -90,6 +90,9 @@
     void receive(const quorum::QuorumMessage &message);
     void tick();
 
+    // A connection to another member is there again.
+    void voterReached();
+
     // The index and term under which a command will be committed; nothing if this host can't lead.
     std::optional<quorum::LogEntry> propose(const std::string &command);
     bool proposeMembers(const quorum::Members &members, Error *reason);
--- a/packages/replica/src/replica.cpp
+++ b/packages/replica/src/replica.cpp
@@ -201,6 +201,12 @@
         carryOut(quorum::tick(m_state, steadyNow()));
 }
 
+void Replica::voterReached()
+{
+    if (!m_failed)
+        quorum::voterReached(m_state, steadyNow());
+}
+
 std::optional<quorum::LogEntry> Replica::propose(const std::string &command)
 {
     quorum::LogEntry entry;
--- a/tests/agreement/agreement_test.cpp
+++ b/tests/agreement/agreement_test.cpp
@@ -23,6 +23,7 @@
 #include <memory>
 #include <mutex>
 #include <queue>
+#include <set>
 #include <thread>
 
 #include <foxwing/base/guards.h>
@@ -88,7 +89,9 @@
     // Commands acknowledged to clients, and what the longest history says.
     std::map<std::string, std::pair<std::string, std::uint64_t>> proposed;
     std::vector<std::string> acknowledged;
-    std::size_t acknowledgedInChaos = 0;
+
+    // Proposed in the last second, long after all had healed
+    std::set<std::string> proposedHealed;
     std::vector<std::string> history;
     std::map<std::uint64_t, std::size_t> reads;
     std::uint64_t nextCommand = 1;
@@ -234,9 +237,15 @@
     settings.self = host.id;
     settings.seed = world.random();
     settings.firstVoters = firstVoters;
+    settings.firstElectionSpan = world.starts % 2 == 0 ? Milliseconds(20) : Milliseconds(100);
     host.state = std::make_unique<QuorumState>(makeQuorum(settings, host.disk, world.now));
     host.applied = split(host.disk.snapshot.state);
     ++world.starts;
+    // Hosts dial each other as soon as one is there again.
+    for (auto &item : world.hosts) {
+        if (item.second.state)
+            voterReached(*item.second.state, world.now);
+    }
 }
 
 // [SECTION] Clients
@@ -257,6 +266,8 @@
         if (!leads(*host->state))
             continue;
         const std::string payload = "command " + std::to_string(world.nextCommand++);
+        if (!world.chaos)
+            world.proposedHealed.insert(payload);
         std::uint64_t index = 0;
         world.proposed[payload] = { host->id, 0 };
         auto actions = propose(*host->state, payload, world.now, &index);
@@ -414,7 +425,10 @@
         if (std::find(world.history.begin(), world.history.end(), payload) == world.history.end())
             world.violations.push_back(payload + " was acknowledged and lost");
     }
-    const bool goesOn = world.acknowledged.size() > world.acknowledgedInChaos;
+    const bool goesOn = std::any_of(world.acknowledged.begin(), world.acknowledged.end(),
+                                    [&](const std::string &payload) {
+                                        return world.proposedHealed.count(payload) != 0;
+                                    });
     if (!goesOn)
         world.violations.push_back("the group did not go on after all had healed");
 }
@@ -443,7 +457,6 @@
         if (world.chaos && world.now >= healAt) {
             world.chaos = false;
             world.cut.clear();
-            world.acknowledgedInChaos = world.acknowledged.size() + world.proposed.size();
         }
         if (world.now >= end - Milliseconds(1000))
             proposeSomething(world);
