Let starts of the most urgent queue wait at agents

Freed room goes to the entry that learns of it first, which starts what it has waiting, however little urgent. Change: where no endpoint has room, a start of the most urgent queue is sent to the agent that lacks the least (15 percent of its endpoint's room at most) and waits there, by priority, for up to 50 ms; the agent keeps freed room for it. What waited too long, or can't start there, is told as "never began", which is true: nothing of it was ordered. [policy] wait_percent switches it (0: off).

--- a/packages/jobs/include/foxwing/jobs/messages.h
+++ b/packages/jobs/include/foxwing/jobs/messages.h
@@ -30,6 +30,13 @@
     Room room;
     Milliseconds estimate { 0 };
 
+    // Of the job's queue; smaller is more urgent
+    std::uint32_t priority = 0;
+
+    // Where there is no room, a start may wait for it at the agent for this long; zero: it is
+    // refused at once.
+    Milliseconds mayWait { 0 };
+
     struct Start
     {
         std::uint32_t index = 0;
@@ -52,6 +59,8 @@
     fields("payload", message.payload);
     fields("room", message.room);
     fields("estimate", message.estimate);
+    fields("priority", message.priority);
+    fields("mayWait", message.mayWait);
     fields("starts", message.starts);
 }
 
--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -98,6 +98,10 @@
     Milliseconds stillAfter { 45 };
     Milliseconds lagRepeat { 150 };
 
+    // Starts of one priority and more urgent ones may wait for up to this part of the endpoint's
+    // room, in percent.
+    std::int64_t waitingPercent = 15;
+
     // Each failure or lag takes an endpoint this much nearer to being on trial, each run that ends
     // on pace takes it back. On trial it gets one run at a time, and rests after a bad one.
     double badStep = 0.25;
@@ -250,6 +254,18 @@
     bool lagged = false;
 };
 
+// A start that waits at this agent for room. Nothing of it was ordered yet.
+struct WaitingStart
+{
+    jobs::RunId id;
+    std::uint64_t session = 0;
+    std::string payload;
+    jobs::Room room;
+    Milliseconds estimate { 0 };
+    std::uint32_t priority = 0;
+    Time until {};
+};
+
 // One entry's connection.
 struct Session
 {
@@ -301,6 +317,9 @@
     std::map<jobs::RunId, Run> runs;
     std::map<std::uint64_t, Session> sessions;
 
+    // The next to start first: by priority, then as they came
+    std::vector<WaitingStart> waiting;
+
     // Looks
     std::uint64_t lookNumber = 0;
     std::uint64_t lookAnswered = 0;
--- a/packages/runner/src/internal.h
+++ b/packages/runner/src/internal.h
@@ -2,6 +2,7 @@
     Inside the runner: what its files share.
 
     [SECTION] Offer
+    [SECTION] Waiting
     [SECTION] Runs
     [SECTION] Judgement
 */
@@ -23,8 +24,30 @@
 // last step of every event.
 void finishEvent(RunnerState &runner, Time now, RunnerActions &actions);
 
+// [SECTION] Waiting
+
+// Room that waiting starts of this priority and of more urgent ones are to get.
+jobs::Room waitingRoom(const RunnerState &runner, std::uint32_t priority);
+bool mayWaitHere(const RunnerState &runner, const jobs::StartTasks &message);
+bool isWaiting(const RunnerState &runner, const jobs::TaskId &task);
+void addWaiting(RunnerState &runner, WaitingStart start);
+
+// Starts what has room now; what has waited too long, or can't start here, is refused.
+void startWaiting(RunnerState &runner, Time now, RunnerActions &actions);
+
+// The entry wants it no more; false if no such start waits.
+bool dropWaiting(RunnerState &runner, const jobs::RunId &id);
+void dropWaitingOf(RunnerState &runner, std::uint64_t session);
+
 // [SECTION] Runs
 
+// Orders a run that was found to fit.
+void startRun(RunnerState &runner, const WaitingStart &start, Time now, RunnerActions &actions);
+
+// Tells the entry that the run certainly never began.
+void refuseStart(RunnerState &runner, std::uint64_t session, const jobs::RunId &id,
+                 jobs::RefusedStart why);
+
 // The run is over: its room is free and its entry is told.
 void endRun(RunnerState &runner, const jobs::RunId &id, jobs::RunEnd end,
             jobs::RefusedStart refused, Time now, RunnerActions &actions);
--- a/packages/runner/src/offer.cpp
+++ b/packages/runner/src/offer.cpp
@@ -41,6 +41,15 @@
     return free;
 }
 
+// Below zero while more waits than is free.
+static jobs::Room offeredRoom(const RunnerState &runner)
+{
+    jobs::Room free = freeRoom(runner);
+    for (const WaitingStart &start : runner.waiting)
+        free -= start.room;
+    return free;
+}
+
 bool onTrial(const RunnerState &runner)
 {
     return runner.bad >= runner.settings.trialAbove;
@@ -66,7 +75,7 @@
     view.dataCentre = runner.endpoint.dataCentre;
     view.labels = runner.endpoint.labels;
     view.capacity = runner.endpoint.capacity;
-    view.free = freeRoom(runner);
+    view.free = offeredRoom(runner);
     view.mostStarts = mostStarts(runner, now);
     view.paceMille = static_cast<std::uint32_t>(runner.pace * 1000);
     view.leaving = runner.endpoint.leaving || runner.stopping;
@@ -203,6 +212,7 @@
 void finishEvent(RunnerState &runner, Time now, RunnerActions &actions)
 {
     dropEndedSessions(runner);
+    startWaiting(runner, now, actions);
     if (onTrial(runner) != runner.wasOnTrial) {
         runner.wasOnTrial = onTrial(runner);
         actions.events.push_back(
@@ -212,7 +222,7 @@
                         .with("pace_percent", static_cast<int>(runner.pace * 100))
                         .with("runs", std::uint64_t { runner.runs.size() }));
     }
-    const jobs::Room free = freeRoom(runner);
+    const jobs::Room free = offeredRoom(runner);
     const std::uint32_t most = mostStarts(runner, now);
     for (auto &[number, session] : runner.sessions) {
         if (session.over)
--- a/packages/runner/src/runner.cpp
+++ b/packages/runner/src/runner.cpp
@@ -246,6 +246,7 @@
     if (session.over)
         return;
     session.over = true;
+    dropWaitingOf(runner, number);
     std::uint64_t runs = 0;
     for (auto &[id, run] : runner.runs) {
         if (run.session != number)
@@ -277,18 +278,20 @@
     return found;
 }
 
-RefusedStart checkStart(const RunnerState &runner, const RunId &id, const jobs::Room &room,
+RefusedStart checkStart(const RunnerState &runner, const RunId &id, const jobs::StartTasks &message,
                         Time now)
 {
     if (runner.endpoint.leaving || runner.stopping)
         return RefusedStart::Leaving;
     if (mostStarts(runner, now) == 0)
         return RefusedStart::NotReady;
-    if (!jobs::fits(room, freeRoom(runner)))
-        return RefusedStart::NoRoom;
     const bool sameTask = std::any_of(runner.runs.begin(), runner.runs.end(),
                                       [&](const auto &run) { return run.first.task == id.task; });
-    return sameTask ? RefusedStart::NotReady : RefusedStart::None;
+    if (sameTask || isWaiting(runner, id.task))
+        return RefusedStart::NotReady;
+    jobs::Room free = freeRoom(runner);
+    free -= waitingRoom(runner, message.priority);
+    return jobs::fits(message.room, free) ? RefusedStart::None : RefusedStart::NoRoom;
 }
 
 // Needs a lease deadline.
@@ -305,22 +308,32 @@
     actions.starts.push_back(std::move(order));
 }
 
-void start(RunnerState &runner, std::uint64_t session, const jobs::StartTasks &message,
-           const RunId &id, Time now, RunnerActions &actions)
+} // namespace
+
+void startRun(RunnerState &runner, const WaitingStart &start, Time now, RunnerActions &actions)
 {
     Run run;
-    run.session = session;
-    run.payload = message.payload;
-    run.room = message.room;
-    run.estimate = message.estimate;
+    run.session = start.session;
+    run.payload = start.payload;
+    run.room = start.room;
+    run.estimate = start.estimate;
     run.orderedAt = now;
     run.progressAt = now;
-    orderStart(runner, id, run, now, actions);
-    runner.runs.emplace(id, std::move(run));
+    orderStart(runner, start.id, run, now, actions);
+    runner.runs.emplace(start.id, std::move(run));
     ++runner.started;
 }
 
-} // namespace
+void refuseStart(RunnerState &runner, std::uint64_t session, const RunId &id, RefusedStart why)
+{
+    ++runner.refused;
+    const auto found = runner.sessions.find(session);
+    if (found == runner.sessions.end())
+        return;
+    found->second.dirty = true;
+    found->second.refusedRoom |= why == RefusedStart::NoRoom;
+    found->second.ended.push_back({ id, RunEnd::NeverBegan, why, Milliseconds(0) });
+}
 
 RunnerActions openSession(RunnerState &runner, std::uint64_t session, const std::string &owner,
                           Time now)
@@ -358,14 +371,20 @@
         const RunId id { { message.job, message.repeat, message.step, wanted.index }, wanted.run };
         ++found->second.startsTaken;
         found->second.dirty = true;
-        const RefusedStart why = checkStart(runner, id, message.room, now);
-        if (why == RefusedStart::None) {
-            start(runner, session, message, id, now, actions);
-            continue;
-        }
-        ++runner.refused;
-        found->second.refusedRoom |= why == RefusedStart::NoRoom;
-        found->second.ended.push_back({ id, RunEnd::NeverBegan, why, Milliseconds(0) });
+        const WaitingStart start { id,
+                                   session,
+                                   message.payload,
+                                   message.room,
+                                   message.estimate,
+                                   message.priority,
+                                   now + message.mayWait };
+        const RefusedStart why = checkStart(runner, id, message, now);
+        if (why == RefusedStart::None)
+            startRun(runner, start, now, actions);
+        else if (why == RefusedStart::NoRoom && mayWaitHere(runner, message))
+            addWaiting(runner, start);
+        else
+            refuseStart(runner, session, id, why);
     }
     finishEvent(runner, now, actions);
     return actions;
@@ -377,6 +396,8 @@
     RunnerActions actions;
     hearSession(runner, session, now, actions);
     for (const RunId &id : message.runs) {
+        if (dropWaiting(runner, id))
+            continue;
         const auto run = runner.runs.find(id);
         if (run != runner.runs.end() && run->second.session == session)
             beginStopping(runner, id, run->second, "its entry asked", now, actions);
--- a/packages/runner/tests/runner_test.cpp
+++ b/packages/runner/tests/runner_test.cpp
@@ -3,6 +3,7 @@
 
     [SECTION] Helpers
     [SECTION] Starts
+    [SECTION] Waiting starts
     [SECTION] Unanswered orders
     [SECTION] Lives and leases
     [SECTION] Sessions
@@ -74,6 +75,26 @@
         return startTasks(runner, Entry, message, now);
     }
 
+    // A start that may wait here for 100 ms.
+    RunnerActions startOrWait(std::uint32_t index, std::int64_t cores, std::uint32_t priority = 0)
+    {
+        jobs::StartTasks message;
+        message.job = "job";
+        message.room = { cores, 10, 0 };
+        message.estimate = Milliseconds(100);
+        message.priority = priority;
+        message.mayWait = Milliseconds(100);
+        message.starts = { { index, 1 } };
+        return startTasks(runner, Entry, message, now);
+    }
+
+    RunnerActions end(std::uint32_t index)
+    {
+        Look look;
+        look.ended = { { ++lastEnd, runId(index), RunEnd::Done } };
+        return answerLook(look);
+    }
+
     // Time goes by, with the entry heard all the while.
     RunnerActions pass(Milliseconds span)
     {
@@ -86,6 +107,7 @@
     RunnerState runner = makeRunner(RunnerSettings(), 1, 100);
     Time now { Seconds(100) };
     bool failLook = false;
+    std::uint64_t lastEnd = 0;
 };
 
 std::vector<jobs::RunReport> endsIn(const RunnerActions &actions)
@@ -229,6 +251,144 @@
     EXPECT_GT(bench.runner.fence - once, once - before);
 }
 
+// [SECTION] Waiting starts
+
+std::vector<std::uint32_t> startedIn(const RunnerActions &actions)
+{
+    std::vector<std::uint32_t> indexes;
+    for (const StartOrder &order : actions.starts)
+        indexes.push_back(order.id.task.index);
+    return indexes;
+}
+
+struct WaitingCase
+{
+    const char *name;
+
+    // Priorities of starts 11, 12, ... of 600 thousandths each, that come while all room is taken
+    std::vector<std::uint32_t> priorities;
+
+    // Which of them start once the room is free again
+    std::vector<std::uint32_t> started;
+
+    // Which are refused at once: 15 percent of 4000 thousandths of a core may wait at a priority
+    std::vector<std::uint32_t> refused;
+};
+
+class WaitingStarts : public testing::TestWithParam<WaitingCase>
+{ };
+
+TEST_P(WaitingStarts, GoByPriorityWhenRoomComesFree)
+{
+    Bench bench;
+    bench.start(1, 4000);
+    std::vector<std::uint32_t> refused;
+    std::uint32_t index = 11;
+    for (const std::uint32_t priority : GetParam().priorities) {
+        const RunnerActions actions = bench.startOrWait(index, 600, priority);
+        EXPECT_TRUE(actions.starts.empty());
+        for (const jobs::RunReport &report : endsIn(actions))
+            refused.push_back(report.id.task.index);
+        ++index;
+    }
+    EXPECT_EQ(refused, GetParam().refused);
+    EXPECT_EQ(startedIn(bench.end(1)), GetParam().started);
+    EXPECT_TRUE(bench.runner.waiting.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Runner, WaitingStarts,
+        testing::Values(WaitingCase { "One", { 0 }, { 11 }, {} },
+                        WaitingCase { "UrgentLast", { 1, 0 }, { 12, 11 }, {} },
+                        WaitingCase { "TooManyOfOnePriority", { 0, 0 }, { 11 }, { 12 } },
+                        WaitingCase { "NothingLessUrgentBehind", { 0, 1 }, { 11 }, { 12 } }),
+        [](const auto &tested) { return tested.param.name; });
+
+struct WaitingEndCase
+{
+    const char *name;
+    std::function<RunnerActions(Bench &)> happens;
+    std::optional<RefusedStart> told;
+};
+
+std::ostream &operator<<(std::ostream &out, const WaitingEndCase &tested)
+{
+    return out << tested.name;
+}
+
+class WaitingEnds : public testing::TestWithParam<WaitingEndCase>
+{ };
+
+// "Never began" is said of a start that waited only if it was not ordered, and never will be.
+TEST_P(WaitingEnds, AreTruthful)
+{
+    Bench bench;
+    bench.start(1, 4000);
+    bench.startOrWait(11, 600);
+    const RunnerActions actions = GetParam().happens(bench);
+    EXPECT_TRUE(actions.starts.empty());
+    EXPECT_TRUE(bench.runner.waiting.empty());
+    std::optional<RefusedStart> told;
+    for (const jobs::RunReport &report : endsIn(actions)) {
+        if (report.id.task.index != 11)
+            continue;
+        EXPECT_EQ(report.end, RunEnd::NeverBegan);
+        told = report.refused;
+    }
+    EXPECT_EQ(told, GetParam().told);
+    EXPECT_TRUE(startedIn(bench.end(1)).empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Runner, WaitingEnds,
+        testing::Values(
+                WaitingEndCase { "TooLong", [](Bench &b) { return b.pass(Milliseconds(100)); },
+                                 RefusedStart::NoRoom },
+                WaitingEndCase { "Stopped",
+                                 [](Bench &b) {
+                                     return stopRuns(b.runner, Entry, { { runId(11) } }, b.now);
+                                 },
+                                 RefusedStart::NoRoom },
+                WaitingEndCase { "EndpointLeaves",
+                                 [](Bench &b) {
+                                     EndpointReport report = makeReport("life-1", 2);
+                                     report.leaving = true;
+                                     return endpointHeard(b.runner, report, b.now);
+                                 },
+                                 RefusedStart::Leaving },
+                WaitingEndCase { "AnotherLife",
+                                 [](Bench &b) {
+                                     return endpointHeard(b.runner, makeReport("life-2", 1), b.now);
+                                 },
+                                 RefusedStart::NotReady },
+                WaitingEndCase { "EntryGone",
+                                 [](Bench &b) { return closeSession(b.runner, Entry, b.now); },
+                                 {} }),
+        [](const auto &tested) { return tested.param.name; });
+
+// What waits has its room: a start that comes later and would fit does not take it.
+TEST(RunnerWaiting, RoomIsKeptForWhatWaits)
+{
+    Bench bench;
+    bench.start(1, 3600);
+    bench.startOrWait(11, 600);
+    const RunnerActions later = bench.start(2, 300);
+    EXPECT_TRUE(later.starts.empty());
+    ASSERT_EQ(endsIn(later).size(), 1U);
+    EXPECT_EQ(endsIn(later)[0].refused, RefusedStart::NoRoom);
+    EXPECT_EQ(viewOf(bench.runner, bench.now).free.milliCores, -200);
+}
+
+TEST(RunnerWaiting, TheSameTaskDoesNotWaitTwice)
+{
+    Bench bench;
+    bench.start(1, 4000);
+    bench.startOrWait(11, 600);
+    const auto ends = endsIn(bench.startOrWait(11, 600));
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].refused, RefusedStart::NotReady);
+}
+
 // [SECTION] Unanswered orders
 
 TEST(RunnerUnanswered, AStartIsOrderedAgainUnderTheSameNumber)
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -22,6 +22,7 @@
 */
 #pragma once
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -89,6 +90,16 @@
     // scale-1); of 20, 35 and 50, 50 gave the best mean over six days.
     std::uint32_t marginPercent = 50;
 
+    // Where no endpoint has room, a start of the most urgent queue may wait at an agent whose room
+    // falls short by no more than this part of its endpoint's, in percent; zero: starts go only
+    // where room is known. Without it, freed room goes to the entry that learns of it first: of the
+    // widest and most urgent jobs on days with more work than room, 6 percent were refused and 6
+    // late; with it, 2 and 5 percent (two bursts with endpoints cut off, one play each).
+    std::int64_t waitPercent = 15;
+
+    // A start waits at an agent for no longer; then another one may be better.
+    Milliseconds mostWait { 50 };
+
     // Up to this many times its objective after it came, a job is still worth finishing.
     double lateFactor = 3.0;
 
@@ -203,6 +214,9 @@
     std::uint32_t runs = 0;
     Time firstPlacedAt {};
 
+    // When all of its tasks had been placed for the first time
+    Time allPlacedAt {};
+
     // A run of it began, or may have.
     bool mayHaveBegun = false;
 
@@ -283,6 +297,10 @@
     // By queue
     std::map<std::string, RunTimes> runTimes;
 
+    // Of the jobs that came so far
+    std::uint32_t mostUrgent = std::numeric_limits<std::uint32_t>::max();
+    std::uint32_t leastUrgent = 0;
+
     // Entries that share the endpoints, this one included
     std::uint32_t entries = 1;
     SchedulerCounters counters;
--- a/packages/scheduler/src/ending.cpp
+++ b/packages/scheduler/src/ending.cpp
@@ -72,6 +72,8 @@
         event.with("patience_ms", *job.terms.patienceUntil - job.arrivedAt);
     if (job.firstPlacedAt != Time {})
         event.with("waited_ms", job.firstPlacedAt - job.arrivedAt);
+    if (job.allPlacedAt != Time {})
+        event.with("all_placed_ms", job.allPlacedAt - job.arrivedAt);
     if (!reason.empty())
         event.with("reason", reason);
     return event;
--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -18,6 +18,9 @@
 void enqueue(SchedulerState &scheduler, Job &job);
 void dequeue(SchedulerState &scheduler, const Job &job);
 
+// Nothing of the job has begun; a start that is under way may begin.
+bool certainlyNotBegun(const Job &job);
+
 // Room that this entry may count on at an agent.
 jobs::Room roomAt(const Agent &agent);
 
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -116,6 +116,40 @@
             && agent.pending.size() < agent.endpoint.mostStarts;
 }
 
+bool mayTakeTask(const Agent &agent, const Job &job, const Task &task, const std::string &id)
+{
+    const jobs::StepSpec &step = job.spec.steps[task.step];
+    return mayTake(agent) && suits(agent, job, step)
+            && belowStepLimit(job, task.step, step.mostPerEndpoint, id);
+}
+
+// Where its room comes free soonest: by what is lacking against all that the endpoint has, and by
+// pace. Nothing if too much is lacking everywhere.
+Agent *chooseWait(SchedulerState &scheduler, const Job &job, const Task &task, std::string *name)
+{
+    const std::int64_t most = scheduler.settings.waitPercent;
+    constexpr double LackWeight = 5;
+    const jobs::StepSpec &step = job.spec.steps[task.step];
+    Agent *best = nullptr;
+    double bestCost = 0;
+    for (auto &[id, agent] : scheduler.agents) {
+        const std::int64_t lacks = step.room.milliCores - roomAt(agent).milliCores;
+        const std::int64_t capacity = agent.endpoint.capacity.milliCores;
+        if (!mayTakeTask(agent, job, task, id) || isAvoided(task, id)
+            || lacks * 100 > capacity * most)
+            continue;
+        const double cost = static_cast<double>(agent.endpoint.paceMille) / 1000
+                + LackWeight * static_cast<double>(lacks)
+                        / static_cast<double>(std::max<std::int64_t>(1, capacity));
+        if (best && cost >= bestCost)
+            continue;
+        best = &agent;
+        bestCost = cost;
+        *name = id;
+    }
+    return best;
+}
+
 Agent *chooseAgent(SchedulerState &scheduler, const Job &job, const Task &task, std::string *name)
 {
     const jobs::StepSpec &step = job.spec.steps[task.step];
@@ -124,8 +158,7 @@
     bool bestAvoided = false;
     for (auto &[id, agent] : scheduler.agents) {
         const jobs::Room free = roomAt(agent);
-        if (!mayTake(agent) || !jobs::fits(step.room, free) || !suits(agent, job, step)
-            || !belowStepLimit(job, task.step, step.mostPerEndpoint, id))
+        if (!jobs::fits(step.room, free) || !mayTakeTask(agent, job, task, id))
             continue;
         const bool avoided = isAvoided(task, id);
         const double cost = costOf(scheduler, agent, free, step);
@@ -159,7 +192,8 @@
 }
 
 jobs::StartTasks &messageFor(std::vector<std::pair<std::string, jobs::StartTasks>> &messages,
-                             const std::string &agent, const Job &job, const Task &task)
+                             const std::string &agent, const Job &job, const Task &task,
+                             Milliseconds wait)
 {
     for (auto &[to, message] : messages) {
         if (to == agent && message.step == task.step && message.estimate == task.expected)
@@ -172,20 +206,40 @@
     message.payload = job.spec.payload;
     message.room = spec.room;
     message.estimate = task.expected;
+    message.priority = job.terms.priority;
+    message.mayWait = wait;
     messages.emplace_back(agent, std::move(message));
     return messages.back().second;
 }
 
+// How long the job's starts may wait at an agent.
+Milliseconds waitFor(const SchedulerState &scheduler, const Job &job, Time now)
+{
+    const bool first = job.terms.priority <= scheduler.mostUrgent
+            && job.terms.priority < scheduler.leastUrgent;
+    // What is late and has not begun is refused at the next tick.
+    const bool late = scheduler.settings.refuseLate && now > job.onTimeUntil
+            && certainlyNotBegun(job);
+    if (scheduler.settings.waitPercent <= 0 || !first || late)
+        return Milliseconds(0);
+    constexpr Milliseconds Least { 10 };
+    const auto slack = std::chrono::duration_cast<Milliseconds>(job.latestBegin - now);
+    return std::clamp(slack, Least, scheduler.settings.mostWait);
+}
+
 // Starts as many of the job's tasks as find room; true if none is left waiting.
 bool placeJob(SchedulerState &scheduler, Job &job, Time now, SchedulerActions &actions)
 {
     std::vector<std::pair<std::string, jobs::StartTasks>> messages;
+    const Milliseconds wait = waitFor(scheduler, job, now);
     bool all = true;
     for (Task &task : job.tasks) {
         if (task.state != TaskState::Waiting || !stepIsReady(job, task.step))
             continue;
         std::string name;
         Agent *agent = chooseAgent(scheduler, job, task, &name);
+        if (!agent && wait.count() > 0)
+            agent = chooseWait(scheduler, job, task, &name);
         if (!agent) {
             all = false;
             break;
@@ -201,10 +255,12 @@
         ++scheduler.counters.starts;
         agent->pending.push_back({ ++agent->startsSent, job.spec.steps[task.step].room });
         agent->sentAt = now;
-        messageFor(messages, name, job, task).starts.push_back({ task.index, task.run });
+        messageFor(messages, name, job, task, wait).starts.push_back({ task.index, task.run });
     }
     if (!messages.empty() && job.firstPlacedAt == Time {})
         job.firstPlacedAt = now;
+    if (job.waiting == 0 && job.allPlacedAt == Time {})
+        job.allPlacedAt = now;
     for (auto &[to, message] : messages)
         actions.sends.push_back({ to, std::move(message) });
     return all;
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -210,6 +210,11 @@
 
 } // namespace
 
+bool certainlyNotBegun(const Job &job)
+{
+    return !job.mayHaveBegun && job.outstanding == 0;
+}
+
 SchedulerActions submit(SchedulerState &scheduler, const jobs::JobSpec &spec, const JobTerms &terms,
                         Time now, std::uint64_t *number)
 {
@@ -221,6 +226,8 @@
         return actions;
     }
     ++scheduler.counters.submitted;
+    scheduler.mostUrgent = std::min(scheduler.mostUrgent, terms.priority);
+    scheduler.leastUrgent = std::max(scheduler.leastUrgent, terms.priority);
     Job job = makeJob(scheduler, spec, terms, now);
     job.number = ++scheduler.lastNumber;
     *number = job.number;
@@ -401,12 +408,6 @@
         removeIfFinished(scheduler, number);
 }
 
-// A start that is under way may begin.
-bool certainlyNotBegun(const Job &job)
-{
-    return !job.mayHaveBegun && job.outstanding == 0;
-}
-
 // Jobs that nobody waits for any longer, and those that have not begun and are worth nothing.
 void giveUpLate(SchedulerState &scheduler, Time now, SchedulerActions &actions)
 {
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -262,7 +262,9 @@
 
 TEST_P(Suits, OnlyEndpointsThatMay)
 {
-    Bench bench({});
+    SchedulerSettings settings;
+    settings.waitPercent = 0;
+    Bench bench({}, settings);
     jobs::EndpointView view = makeView(4000);
     view.labels = { "b", "r1" };
     GetParam().change(view);
@@ -313,6 +315,68 @@
     EXPECT_EQ(startsIn(bench.report("agent-0", { endOf("job", 1, 1, RunEnd::Done) })), 3U);
 }
 
+struct WaitCase
+{
+    const char *name;
+
+    // Of the job, and of one of another queue that came before
+    std::uint32_t priority;
+    std::uint32_t otherPriority;
+
+    // Free at the only endpoint, of 10000
+    std::int64_t free;
+    std::int64_t waitPercent;
+    bool sent;
+};
+
+class Waits : public testing::TestWithParam<WaitCase>
+{ };
+
+// A task of 1000 where there is no room for it.
+TEST_P(Waits, AtAnAgentOnlyWhatGoesFirstThere)
+{
+    SchedulerSettings settings;
+    settings.waitPercent = GetParam().waitPercent;
+    Bench bench({ 10000 }, settings);
+    bench.priority = GetParam().otherPriority;
+    bench.submit("other", 1);
+    bench.report("agent-0", {}, GetParam().free);
+    bench.priority = GetParam().priority;
+    const SchedulerActions actions = bench.submit("job", 1);
+    ASSERT_EQ(startsIn(actions), GetParam().sent ? 1U : 0U);
+    if (!GetParam().sent)
+        return;
+    const auto &message = std::get<jobs::StartTasks>(actions.sends.at(0).message);
+    EXPECT_EQ(message.priority, GetParam().priority);
+    EXPECT_EQ(message.mayWait, settings.mostWait);
+}
+
+INSTANTIATE_TEST_SUITE_P(Scheduler, Waits,
+                         testing::Values(WaitCase { "Urgent", 0, 1, 0, 15, true },
+                                         WaitCase { "MuchWaitsThere", 0, 1, -600, 15, false },
+                                         WaitCase { "LessUrgent", 1, 0, 0, 15, false },
+                                         WaitCase { "AllAlike", 1, 1, 0, 15, false },
+                                         WaitCase { "SwitchedOff", 0, 1, 0, 0, false }),
+                         [](const auto &tested) { return tested.param.name; });
+
+// A start that waits at an agent may still begin: nothing is said of it before the agent does.
+TEST(SchedulerPlacing, AJobThatWaitsAtAnAgentIsRefusedOnlyAfterTheAgentsWord)
+{
+    Bench bench({ 10000 });
+    bench.priority = 1;
+    bench.submit("other", 1);
+    bench.report("agent-0", {}, 0);
+    bench.priority = 0;
+    bench.submit("job", 1);
+    EXPECT_TRUE(bench.pass(Milliseconds(100)).answers.empty());
+    const SchedulerActions actions = bench.report("agent-0",
+                                                  { endOf("job", 0, 1, RunEnd::NeverBegan,
+                                                          RefusedStart::NoRoom) },
+                                                  0);
+    const SchedulerActions next = bench.pass(Milliseconds(1));
+    ASSERT_EQ(actions.answers.size() + next.answers.size(), 1U);
+}
+
 // [SECTION] Ends
 
 struct EndCase
