Pass over heartbeats of a former life of the endpoint

Change: the agent remembers the last 16 lives as gone and logs a late word of theirs (late-heartbeat). A 421 of the endpoint goes before the order in which heartbeats came: it clears that memory, so that the next heartbeat counts. Ruled out: going by sequence numbers, which belong to one life each. Test: RunnerLives.ALateHeartbeatOfAFormerLifeChangesNothing failed before (all runs ended as lost, the former life taken for the present one) and passes now; two more on the endpoint's own word and on the bound. Open: an agent that was itself started again in between knows no former life (docs/NOT-YET.md).

--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -23,6 +23,7 @@
 */
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -102,6 +103,10 @@
     // room, in percent.
     std::int64_t waitingPercent = 15;
 
+    // Lives of the endpoint that are remembered as gone. More than crash within the time that a
+    // heartbeat can be held up on its way.
+    std::size_t mostFormerLives = 16;
+
     // Each failure or lag takes an endpoint this much nearer to being on trial, each run that ends
     // on pace takes it back. On trial it gets one run at a time, and rests after a bad one.
     double badStep = 0.25;
@@ -300,6 +305,9 @@
 
     // The endpoint; without a life nothing is known of it.
     EndpointReport endpoint;
+
+    // The lives before it, the last one at the end: what they still say comes late
+    std::deque<std::string> formerLives;
     std::uint64_t viewNumber = 1;
     bool stopping = false;
 
--- a/packages/runner/src/runner.cpp
+++ b/packages/runner/src/runner.cpp
@@ -182,6 +182,10 @@
                                      .with("before", runner.endpoint.life)
                                      .with("service", report.service));
     endAll(runner, RunEnd::Lost, "another life of the endpoint", now, actions);
+    if (!runner.endpoint.life.empty())
+        runner.formerLives.push_back(runner.endpoint.life);
+    if (runner.formerLives.size() > runner.settings.mostFormerLives)
+        runner.formerLives.pop_front();
     runner.clean = false;
     runner.clockSample.reset();
     runner.leaseUntil = Milliseconds(0);
@@ -208,6 +212,14 @@
     RunnerActions actions;
     if (report.life == runner.endpoint.life && report.sequence < runner.endpoint.sequence)
         return actions;
+    const std::deque<std::string> &former = runner.formerLives;
+    if (std::find(former.begin(), former.end(), report.life) != former.end()) {
+        actions.events.push_back(Event("late-heartbeat")
+                                         .with("life", report.life)
+                                         .with("present", runner.endpoint.life)
+                                         .with("sequence", report.sequence));
+        return actions;
+    }
     if (report.life != runner.endpoint.life)
         newLife(runner, report, now, actions);
     else if (report.leaving && !runner.endpoint.leaving)
@@ -594,6 +606,9 @@
     // Nobody listens at its address, twice: the endpoint's process is gone, and what it ran with
     // it.
     const bool gone = answered.answer == Answer::Unreachable && runner.looksFailed > 1;
+    // Its own word goes before the order in which heartbeats came.
+    if (answered.answer == Answer::OtherLife)
+        runner.formerLives.clear();
     if (gone || answered.answer == Answer::OtherLife)
         endAll(runner, RunEnd::Lost, toString(answered.answer), now, actions);
 }
--- a/packages/runner/tests/runner_test.cpp
+++ b/packages/runner/tests/runner_test.cpp
@@ -560,6 +560,45 @@
     EXPECT_TRUE(bench.runner.endpoint.leaving);
 }
 
+// A heartbeat that was delayed by a cut arrives after another life has registered at the address:
+// what runs must not be taken for lost, or it is started elsewhere beside itself.
+TEST(RunnerLives, ALateHeartbeatOfAFormerLifeChangesNothing)
+{
+    Bench bench;
+    endpointHeard(bench.runner, makeReport("life-2", 1), bench.now);
+    bench.answerLook({});
+    bench.start(1);
+    startAnswered(bench.runner, runId(1), { Answer::Ok, bench.clock() }, bench.now);
+    const RunnerActions late = endpointHeard(bench.runner, makeReport("life-1", 7), bench.now);
+    EXPECT_TRUE(endsIn(late).empty());
+    EXPECT_EQ(bench.runner.endpoint.life, "life-2");
+    EXPECT_EQ(bench.runner.runs.size(), 1U);
+    EXPECT_GT(viewOf(bench.runner, bench.now).mostStarts, 0U);
+}
+
+// Should the endpoint itself say that it is the other life, the next heartbeat counts again.
+TEST(RunnerLives, ALifeThatTheEndpointDisownsIsReplacedByAnyHeartbeat)
+{
+    Bench bench;
+    endpointHeard(bench.runner, makeReport("life-2", 1), bench.now);
+    Look disowned;
+    disowned.answered.answer = Answer::OtherLife;
+    bench.failLook = true;
+    bench.answerLook(disowned);
+    endpointHeard(bench.runner, makeReport("life-1", 7), bench.now);
+    EXPECT_EQ(bench.runner.endpoint.life, "life-1");
+}
+
+// Of many lives only the last ones are remembered.
+TEST(RunnerLives, FormerLivesAreBounded)
+{
+    Bench bench;
+    for (int i = 2; i < 100; ++i)
+        endpointHeard(bench.runner, makeReport("life-" + std::to_string(i), 1), bench.now);
+    EXPECT_EQ(bench.runner.formerLives.size(), bench.runner.settings.mostFormerLives);
+    EXPECT_EQ(bench.runner.formerLives.back(), "life-98");
+}
+
 TEST(RunnerLives, RunsOfAnEarlierAgentAreStoppedBeforeAnythingStarts)
 {
     RunnerState runner = makeRunner(RunnerSettings(), 2, 200);
