A switch for each mechanism; decisions that do not depend on names

Ruled out: one flag for all; a mechanism is judged by itself. Defaults are unchanged, so nothing else moves.

--- a/packages/fleet/src/agentshell.cpp
+++ b/packages/fleet/src/agentshell.cpp
@@ -275,6 +275,8 @@
         samples.push_back({ name, help, value, true });
     };
     gauge("foxwing_runs", "Runs that take room", count(m_runner.runs.size()));
+    gauge("foxwing_starts_waiting", "Starts that wait here for room",
+          count(m_runner.waiting.size()));
     gauge("foxwing_sessions", "Entries in touch", count(m_runner.sessions.size()));
     gauge("foxwing_endpoint_pace", "Time taken against estimates", m_runner.pace);
     gauge("foxwing_endpoint_bad", "Evidence against the endpoint, 0 to 1", m_runner.bad);
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -106,11 +106,21 @@
     else
         table.refuse("order",
                      "must be \"latest-begin\", \"newest\", \"first-come\" or \"priority\"");
+    std::string placement = scheduler::toString(policy.placement);
+    table.text("placement", placement);
+    const auto knownPlacement = scheduler::placementNamed(placement);
+    if (knownPlacement)
+        policy.placement = *knownPlacement;
+    else
+        table.refuse("placement", "must be \"fastest\", \"random\" or \"most-room\"");
     table.whole("margin_percent", policy.marginPercent, 0, 1000);
     table.number("refuse_above", policy.refuseAbove, 0.01, 100);
     table.flag("refuse_late", policy.refuseLate);
     table.whole("refuse_at_arrival_percent", policy.refuseAtArrivalPercent, 0, 1000);
     table.whole("wait_percent", policy.waitPercent, 0, 100);
+    table.flag("learn_run_times", policy.learnRunTimes);
+    table.flag("move_runs", policy.moveRuns);
+    table.flag("judge_endpoint", settings.runner.judgeEndpoint);
     table.finish();
 }
 
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -39,6 +39,12 @@
 margin_percent = 20
 refuse_late = false
 refuse_above = 1.5
+refuse_at_arrival_percent = 150
+wait_percent = 0
+placement = "most-room"
+learn_run_times = false
+move_runs = false
+judge_endpoint = false
 )";
 
 TEST(FleetSettingsFile, IsRead)
@@ -56,6 +62,12 @@
     EXPECT_EQ(settings->scheduler.order, scheduler::Order::LatestBegin);
     EXPECT_EQ(settings->scheduler.marginPercent, 20U);
     EXPECT_FALSE(settings->scheduler.refuseLate);
+    EXPECT_EQ(settings->scheduler.refuseAtArrivalPercent, 150U);
+    EXPECT_EQ(settings->scheduler.waitPercent, 0);
+    EXPECT_EQ(settings->scheduler.placement, scheduler::Placement::MostRoom);
+    EXPECT_FALSE(settings->scheduler.learnRunTimes);
+    EXPECT_FALSE(settings->scheduler.moveRuns);
+    EXPECT_FALSE(settings->runner.judgeEndpoint);
 }
 
 struct BadCase
@@ -93,6 +105,9 @@
                 BadCase { "ControlWithoutFolder", "\"entry\"", "\"control\"", "data_folder" },
                 BadCase { "Losses", "losses = 1", "losses = 80", "tolerated_losses" },
                 BadCase { "Order", "\"latest-begin\"", "\"sideways\"", "order" },
+                BadCase { "Placement", "\"most-room\"", "\"nowhere\"", "placement" },
+                BadCase { "Wait", "wait_percent = 0", "wait_percent = 101", "wait_percent" },
+                BadCase { "AtArrival", "= 150", "= -1", "refuse_at_arrival_percent" },
                 BadCase { "Margin", "= 20", "= -1", "margin_percent" },
                 BadCase { "Grace", "= 6", "= \"long\"", "stop_grace" }),
         [](const auto &tested) { return tested.param.name; });
--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -107,6 +107,9 @@
     // heartbeat can be held up on its way.
     std::size_t mostFormerLives = 16;
 
+    // Endpoints whose runs fail or lag are put on trial.
+    bool judgeEndpoint = true;
+
     // Each failure or lag takes an endpoint this much nearer to being on trial, each run that ends
     // on pace takes it back. On trial it gets one run at a time, and rests after a bad one.
     double badStep = 0.25;
--- a/packages/runner/src/offer.cpp
+++ b/packages/runner/src/offer.cpp
@@ -52,7 +52,7 @@
 
 bool onTrial(const RunnerState &runner)
 {
-    return runner.bad >= runner.settings.trialAbove;
+    return runner.settings.judgeEndpoint && runner.bad >= runner.settings.trialAbove;
 }
 
 std::uint32_t mostStarts(const RunnerState &runner, Time now)
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -61,6 +61,8 @@
     Priority,
 };
 
+const char *toString(Placement placement);
+std::optional<Placement> placementNamed(const std::string &name);
 const char *toString(Order order);
 std::optional<Order> orderNamed(const std::string &name);
 
@@ -126,6 +128,12 @@
     // in place of 0.90.
     bool refuseLate = true;
 
+    // Work is expected to take what the queue's jobs showed, not what the caller guesses.
+    bool learnRunTimes = true;
+
+    // Runs that are behind, or stand still, are started elsewhere.
+    bool moveRuns = true;
+
     // A run that is behind is moved only if the new one would end in less than this part of what is
     // left, in percent.
     std::uint32_t moveBelowPercent = 60;
--- a/packages/scheduler/src/ending.cpp
+++ b/packages/scheduler/src/ending.cpp
@@ -336,7 +336,7 @@
                                                  && suits(other.second, *job, step)
                                                  && jobs::fits(step.room, roomAt(other.second));
                                      });
-    if (!quicker || (!hasRoom && !report.standsStill))
+    if (!scheduler.settings.moveRuns || !quicker || (!hasRoom && !report.standsStill))
         return;
     actions.events.push_back(taskEvent("task-moved", *job, *task)
                                      .with("left_ms", report.left)
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -34,6 +34,29 @@
     return "timed-out";
 }
 
+const char *toString(Placement placement)
+{
+    switch (placement) {
+    case Placement::Random:
+        return "random";
+    case Placement::MostRoom:
+        return "most-room";
+    case Placement::Fastest:
+        break;
+    }
+    return "fastest";
+}
+
+std::optional<Placement> placementNamed(const std::string &name)
+{
+    for (const Placement placement :
+         { Placement::Fastest, Placement::Random, Placement::MostRoom }) {
+        if (name == toString(placement))
+            return placement;
+    }
+    return std::nullopt;
+}
+
 const char *toString(Order order)
 {
     switch (order) {
@@ -104,8 +127,8 @@
     job.arrivedAt = now;
     job.guessed = longestChain(spec, guesses(spec));
     const auto times = scheduler.runTimes.find(terms.queue);
-    job.expected = times == scheduler.runTimes.end() ? job.guessed
-                                                     : expectedRunTime(times->second, job.guessed);
+    const bool learned = settings.learnRunTimes && times != scheduler.runTimes.end();
+    job.expected = learned ? expectedRunTime(times->second, job.guessed) : job.guessed;
     const Milliseconds chain = job.expected;
     job.objectiveAt = now + scaled(chain, terms.stretch) + terms.targetLatency;
     job.latestBegin = job.objectiveAt - chain;
--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -574,6 +574,19 @@
     EXPECT_EQ(tick(bench.scheduler, bench.now).closes, std::vector<std::string> { "agent-0" });
 }
 
+TEST(SchedulerLost, NothingIsMovedWhereMovesAreSwitchedOff)
+{
+    SchedulerSettings settings;
+    settings.moveRuns = false;
+    Bench bench({ 4000, 4000 }, settings);
+    const std::string agent = bench.submit("job", 1).sends.at(0).agent;
+    jobs::AgentUpdate update;
+    update.startsTaken = 1;
+    update.mostStarts = 1000;
+    update.lagging = { { { { "job", 0, 0, 0 }, 1 }, Milliseconds(0), true, false } };
+    EXPECT_EQ(stopsIn(agentUpdated(bench.scheduler, agent, update, bench.now)), 0U);
+}
+
 struct LagCase
 {
     const char *name;
@@ -656,8 +669,94 @@
          { Order::LatestBegin, Order::Newest, Order::FirstCome, Order::Priority })
         EXPECT_EQ(orderNamed(toString(order)), order);
     EXPECT_FALSE(orderNamed("sideways"));
+    for (const Placement placement : { Placement::Fastest, Placement::Random, Placement::MostRoom })
+        EXPECT_EQ(placementNamed(toString(placement)), placement);
+    EXPECT_FALSE(placementNamed("sideways"));
+}
+
+// What a decision depends on: not on what queues, services, jobs and data centres are called.
+struct Names
+{
+    const char *queue;
+    const char *service;
+    const char *job;
+    const char *dataCentre;
+};
+
+class RenamedWorlds : public testing::TestWithParam<Names>
+{ };
+
+// A busy second of two queues on three endpoints that differ in pace: all starts, stops and
+// answers.
+std::vector<std::string> decisionsUnder(const Names &names)
+{
+    SchedulerState scheduler = makeScheduler({});
+    Time now(Seconds(100));
+    for (int i = 0; i < 3; ++i) {
+        jobs::Welcome welcome;
+        welcome.endpoint = makeView(4000);
+        welcome.endpoint.service = names.service;
+        welcome.endpoint.dataCentre = names.dataCentre;
+        welcome.endpoint.paceMille = 800 + 300 * static_cast<std::uint32_t>(i);
+        agentConnected(scheduler, "agent-" + std::to_string(i), now);
+        agentWelcomed(scheduler, "agent-" + std::to_string(i), welcome, now);
+    }
+    std::vector<std::string> decisions;
+    const auto note = [&](const SchedulerActions &actions) {
+        for (const AgentSend &send : actions.sends) {
+            const auto *start = std::get_if<jobs::StartTasks>(&send.message);
+            decisions.push_back(send.agent + " " + std::to_string(send.message.index()) + " "
+                                + std::to_string(start ? start->starts.size() : 0) + " "
+                                + std::to_string(start ? start->estimate.count() : 0));
+        }
+        for (const JobAnswer &answer : actions.answers)
+            decisions.push_back(std::to_string(answer.number) + " " + toString(answer.outcome));
+    };
+    for (int i = 0; i < 100; ++i) {
+        now += Milliseconds(10);
+        jobs::StepSpec step;
+        step.tasks = 1 + static_cast<std::uint32_t>(i % 5);
+        step.room = { 700, 10, 0 };
+        step.estimate = Milliseconds(50 + 17 * (i % 7));
+        jobs::JobSpec spec;
+        spec.id = names.job + std::to_string(i);
+        spec.steps = { step };
+        JobTerms terms;
+        terms.queue = names.queue + std::to_string(i % 2);
+        terms.service = names.service;
+        terms.priority = static_cast<std::uint32_t>(i % 2);
+        terms.attempts = 2;
+        terms.stretch = 1.6;
+        terms.targetLatency = Milliseconds(60);
+        terms.beginBy = now + Milliseconds(1500);
+        std::uint64_t number = 0;
+        note(submit(scheduler, spec, terms, now, &number));
+        for (auto &[name, agent] : scheduler.agents)
+            agent.heardAt = now;
+        jobs::AgentUpdate update;
+        const std::string name = "agent-" + std::to_string(i % 3);
+        update.startsTaken = scheduler.agents.at(name).startsSent;
+        update.free = { 700 * (i % 4), 10000, 0 };
+        update.mostStarts = 1000;
+        note(agentUpdated(scheduler, name, update, now));
+        note(tick(scheduler, now));
+    }
+    return decisions;
 }
 
+TEST_P(RenamedWorlds, GiveTheSameDecisions)
+{
+    const std::vector<std::string> decisions = decisionsUnder({ "queue", "align", "job", "north" });
+    EXPECT_GT(decisions.size(), 100U);
+    EXPECT_EQ(decisionsUnder(GetParam()), decisions);
+}
+
+INSTANTIATE_TEST_SUITE_P(Scheduler, RenamedWorlds,
+                         testing::Values(Names { "zebra", "align", "job", "north" },
+                                         Names { "queue", "tag", "job", "north" },
+                                         Names { "queue", "align", "9f", "north" },
+                                         Names { "queue", "align", "job", "a-very-long-name" }));
+
 // A queue's priority goes before how little time a job of another queue has.
 TEST(SchedulerOrder, PriorityGoesBeforeTheLatestBegin)
 {
