--- a/packages/runner/src/internal.h
+++ b/packages/runner/src/internal.h
@@ -3,6 +3,7 @@
 
     [SECTION] Offer
     [SECTION] Waiting
+    [SECTION] Sessions
     [SECTION] Runs
     [SECTION] Judgement
 */
@@ -39,8 +40,21 @@
 bool dropWaiting(RunnerState &runner, const jobs::RunId &id);
 void dropWaitingOf(RunnerState &runner, std::uint64_t session);
 
+// [SECTION] Sessions
+
+// The entry is taken for gone: its runs are being stopped, and nothing more is told to it.
+void endSession(RunnerState &runner, std::uint64_t number, const char *why, Time now,
+                RunnerActions &actions);
+
 // [SECTION] Runs
 
+// A log line about one run.
+eventlog::Event runEvent(const char *name, const jobs::RunId &id);
+
+// Orders the start once more, or for the first time. Needs a lease deadline.
+void orderStart(RunnerState &runner, const jobs::RunId &id, Run &run, Time now,
+                RunnerActions &actions);
+
 // Orders a run that was found to fit.
 void startRun(RunnerState &runner, const WaitingStart &start, Time now, RunnerActions &actions);
 
--- /dev/null
+++ b/packages/scheduler/src/admission.cpp
@@ -0,0 +1,245 @@
+/*
+    Which jobs are taken in, what they are expected to take, and which are refused at once.
+
+    [SECTION] Admission
+*/
+#include <algorithm>
+
+#include "internal.h"
+
+namespace foxwing::scheduler {
+
+using eventlog::Event;
+
+// [SECTION] Admission
+
+namespace {
+
+std::vector<Milliseconds> guesses(const jobs::JobSpec &spec)
+{
+    std::vector<Milliseconds> spans;
+    for (const jobs::StepSpec &step : spec.steps)
+        spans.push_back(step.estimate);
+    return spans;
+}
+
+Microseconds scaled(Milliseconds span, double factor)
+{
+    return std::chrono::duration_cast<Microseconds>(
+            std::chrono::duration<double, std::milli>(static_cast<double>(span.count()) * factor));
+}
+
+std::uint64_t taskCount(const jobs::JobSpec &spec)
+{
+    std::uint64_t count = 0;
+    for (const jobs::StepSpec &step : spec.steps)
+        count += step.tasks;
+    return count;
+}
+
+// Without its tasks, which a job that is refused never gets: a caller may name millions.
+Job makeJob(const SchedulerState &scheduler, const jobs::JobSpec &spec, const JobTerms &terms,
+            Time now)
+{
+    const SchedulerSettings &settings = scheduler.settings;
+    Job job;
+    job.spec = spec;
+    job.terms = terms;
+    job.arrivedAt = now;
+    job.guessed = longestChain(spec, guesses(spec));
+    const auto times = scheduler.runTimes.find(terms.queue);
+    const bool learned = settings.learnRunTimes && times != scheduler.runTimes.end();
+    job.expected = learned ? expectedRunTime(times->second, job.guessed) : job.guessed;
+    const Milliseconds chain = job.expected;
+    job.objectiveAt = now + scaled(chain, terms.stretch) + terms.targetLatency;
+    job.latestBegin = job.objectiveAt - chain;
+    job.onTimeUntil = std::max(now, job.latestBegin - chain * settings.marginPercent / 100);
+    const auto objective = std::chrono::duration_cast<Milliseconds>(job.objectiveAt - now);
+    job.worthUntil = now + scaled(objective, settings.lateFactor) - chain;
+    return job;
+}
+
+// One step's estimate, corrected as the whole chain is.
+Milliseconds expectedOf(const Job &job, Milliseconds estimate)
+{
+    return job.guessed.count() > 0 ? estimate * job.expected.count() / job.guessed.count()
+                                   : estimate;
+}
+
+void addTasks(Job &job)
+{
+    const jobs::JobSpec &spec = job.spec;
+    job.longestRun.resize(spec.steps.size(), Milliseconds(0));
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+        job.tasksLeft.push_back(spec.steps[step].tasks);
+        for (std::uint32_t index = 0; index < spec.steps[step].tasks; ++index) {
+            Task task;
+            task.step = step;
+            task.index = index;
+            task.expected = expectedOf(job, spec.steps[step].estimate);
+            job.tasks.push_back(task);
+        }
+    }
+    job.waiting = static_cast<std::uint32_t>(job.tasks.size());
+}
+
+// Work that waits here and would go first, against the part of all room that this entry can count
+// on.
+Microseconds expectedWait(const SchedulerState &scheduler, const Job &wanted)
+{
+    double waiting = 0;
+    for (const QueueKey &key : scheduler.queue) {
+        const Job &job = scheduler.jobs.at(key.number);
+        if (key.group > Rank::OnTime || job.latestBegin > wanted.latestBegin
+            || job.terms.service != wanted.terms.service)
+            continue;
+        const jobs::StepSpec &step = job.spec.steps.front();
+        waiting += static_cast<double>(job.waiting) * static_cast<double>(step.room.milliCores)
+                * static_cast<double>(step.estimate.count());
+    }
+    double room = 0;
+    for (const auto &[name, agent] : scheduler.agents) {
+        if (agent.welcomed && agent.endpoint.service == wanted.terms.service
+            && agent.endpoint.mostStarts > 0)
+            room += static_cast<double>(agent.endpoint.capacity.milliCores);
+    }
+    if (room <= 0)
+        return Microseconds(0);
+    // Declared rooms can be absurd; beyond an hour it makes no difference.
+    constexpr double MostMilliseconds = 3.6e6;
+    return scaled(Milliseconds(1), std::min(MostMilliseconds, waiting * scheduler.entries / room));
+}
+
+// Whether what waits here and goes before this job takes, at the pace at which room came free here
+// of late, more time than the job has until it counts as late.
+bool waitsTooLong(const SchedulerState &scheduler, const Job &wanted, Time now)
+{
+    const auto freed = scheduler.freed.find(wanted.terms.service);
+    if (freed == scheduler.freed.end() || scheduler.settings.refuseAtArrivalPercent == 0)
+        return false;
+    double waiting = 0;
+    for (const QueueKey &key : scheduler.queue) {
+        const Job &job = scheduler.jobs.at(key.number);
+        if (key.group > Rank::OnTime || job.terms.service != wanted.terms.service
+            || (key.group == Rank::OnTime && job.terms.priority > wanted.terms.priority))
+            continue;
+        waiting += static_cast<double>(job.waiting)
+                * static_cast<double>(job.spec.steps.front().room.milliCores);
+    }
+    const double perMillisecond = freedPerMillisecond(scheduler, freed->second, now);
+    const auto slack = std::chrono::duration_cast<Milliseconds>(wanted.onTimeUntil - now);
+    const double most = static_cast<double>(slack.count())
+            * scheduler.settings.refuseAtArrivalPercent / 100;
+    return waiting > 0 && waiting > perMillisecond * most;
+}
+
+bool anySuits(const SchedulerState &scheduler, const Job &job, const jobs::StepSpec &step)
+{
+    bool any = false;
+    for (const auto &[name, agent] : scheduler.agents) {
+        if (!agent.welcomed || agent.endpoint.service != job.terms.service)
+            continue;
+        any = true;
+        if (suits(agent, job, step))
+            return true;
+    }
+    // Without a single endpoint of the service nothing is known of what would fit.
+    return !any;
+}
+
+// Why a job is not taken; empty if it is.
+std::string refusal(const SchedulerState &scheduler, const Job &job, Time now)
+{
+    if (scheduler.jobs.size() >= scheduler.settings.mostJobs)
+        return "this entry holds as many jobs as it may";
+    const jobs::JobTraits &traits = job.spec.traits;
+    if (traits.kept || traits.gang || traits.lasting || traits.timed)
+        return "this kind of job is not served yet";
+    const std::uint64_t tasks = taskCount(job.spec);
+    if (tasks == 0 || tasks > scheduler.settings.mostTasksPerJob)
+        return "a job needs at least one task, and at most the number in the settings";
+    const Microseconds wait = expectedWait(scheduler, job);
+    const Microseconds objective = job.objectiveAt - job.arrivedAt;
+    if (wait > scaled(std::chrono::duration_cast<Milliseconds>(objective),
+                      scheduler.settings.refuseAbove)
+        || waitsTooLong(scheduler, job, now))
+        return "the work before it takes longer than it may wait";
+    return "";
+}
+
+void refuse(SchedulerState &scheduler, Job &job, JobOutcome outcome, const std::string &why,
+            Time now, SchedulerActions &actions)
+{
+    // A job that never was in the table is answered through it, so that all answers are alike.
+    const std::uint64_t number = job.number;
+    Job &kept = scheduler.jobs.emplace(number, std::move(job)).first->second;
+    answerJob(scheduler, kept, outcome, why, now, actions);
+}
+
+} // namespace
+
+bool certainlyNotBegun(const Job &job)
+{
+    return !job.mayHaveBegun && job.outstanding == 0;
+}
+
+SchedulerActions submit(SchedulerState &scheduler, const jobs::JobSpec &spec, const JobTerms &terms,
+                        Time now, std::uint64_t *number)
+{
+    SchedulerActions actions;
+    const auto known = scheduler.byId.find(spec.id);
+    if (known != scheduler.byId.end() && !scheduler.jobs.at(known->second).over) {
+        *number = known->second;
+        actions.events.push_back(Event("job-joined").with("request", spec.id));
+        return actions;
+    }
+    ++scheduler.counters.submitted;
+    scheduler.mostUrgent = std::min(scheduler.mostUrgent, terms.priority);
+    scheduler.leastUrgent = std::max(scheduler.leastUrgent, terms.priority);
+    Job job = makeJob(scheduler, spec, terms, now);
+    job.number = ++scheduler.lastNumber;
+    *number = job.number;
+    const std::string why = refusal(scheduler, job, now);
+    if (!why.empty()) {
+        refuse(scheduler, job, JobOutcome::NotRun, why, now, actions);
+        return actions;
+    }
+    const bool possible = std::all_of(spec.steps.begin(), spec.steps.end(), [&](const auto &step) {
+        return anySuits(scheduler, job, step);
+    });
+    if (!possible) {
+        refuse(scheduler, job, JobOutcome::Failed, "no endpoint of its service could ever run it",
+               now, actions);
+        return actions;
+    }
+    addTasks(job);
+    job.waitsFor = known == scheduler.byId.end() ? 0 : known->second;
+    scheduler.byId[spec.id] = job.number;
+    Job &kept = scheduler.jobs.emplace(job.number, std::move(job)).first->second;
+    enqueue(scheduler, kept);
+    place(scheduler, now, actions);
+    return actions;
+}
+
+SchedulerActions abandon(SchedulerState &scheduler, std::uint64_t number, Time now)
+{
+    SchedulerActions actions;
+    const auto found = scheduler.jobs.find(number);
+    if (found == scheduler.jobs.end() || found->second.over)
+        return actions;
+    Job &job = found->second;
+    dequeue(scheduler, job);
+    job.over = true;
+    ++scheduler.counters.abandoned;
+    actions.events.push_back(Event("job-abandoned")
+                                     .with("request", job.spec.id)
+                                     .with("done", job.done)
+                                     .with("outstanding", job.outstanding)
+                                     .with("took_ms", now - job.arrivedAt));
+    for (Task &task : job.tasks)
+        stopTask(scheduler, job, task, actions);
+    removeIfFinished(scheduler, number);
+    return actions;
+}
+
+} // namespace foxwing::scheduler
--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -16,6 +16,9 @@
 // Starts what can start now.
 void place(SchedulerState &scheduler, Time now, SchedulerActions &actions);
 QueueKey keyOf(const SchedulerState &scheduler, const Job &job);
+
+// All waiting jobs in their order, after each has found its rank at this time.
+std::vector<QueueKey> sortOut(SchedulerState &scheduler, Time now);
 void enqueue(SchedulerState &scheduler, Job &job);
 void dequeue(SchedulerState &scheduler, const Job &job);
 
--- /dev/null
+++ b/packages/scheduler/src/order.cpp
@@ -0,0 +1,80 @@
+/*
+    Which waiting job goes next.
+
+    [SECTION] Order
+    [SECTION] Ranks
+*/
+#include "internal.h"
+
+namespace foxwing::scheduler {
+
+// [SECTION] Order
+
+QueueKey keyOf(const SchedulerState &scheduler, const Job &job)
+{
+    QueueKey key;
+    key.number = job.number;
+    const auto arrived = job.arrivedAt.time_since_epoch().count();
+    const auto latestBegin = job.latestBegin.time_since_epoch().count();
+    switch (scheduler.settings.order) {
+    case Order::FirstCome:
+        key.rank = arrived;
+        break;
+    case Order::Newest:
+        key.group = job.group;
+        key.rank = job.group == Rank::Begun ? latestBegin : -arrived;
+        break;
+    case Order::Priority:
+        key.priority = job.terms.priority;
+        [[fallthrough]];
+    case Order::LatestBegin:
+        key.group = job.group;
+        // Of those that are late the newest goes first: the oldest are the next to be worth
+        // nothing.
+        key.rank = job.group == Rank::Late ? -arrived : latestBegin;
+        break;
+    }
+    return key;
+}
+
+void enqueue(SchedulerState &scheduler, Job &job)
+{
+    if (!job.over && job.waiting > 0 && job.waitsFor == 0)
+        scheduler.queue.insert(keyOf(scheduler, job));
+}
+
+void dequeue(SchedulerState &scheduler, const Job &job)
+{
+    scheduler.queue.erase(keyOf(scheduler, job));
+}
+
+// [SECTION] Ranks
+
+namespace {
+
+Rank groupOf(const Job &job, Time now)
+{
+    if (job.runs > 0)
+        return now > job.worthUntil ? Rank::Hopeless : Rank::Begun;
+    return job.onTimeUntil < now ? Rank::Late : Rank::OnTime;
+}
+
+} // namespace
+
+// The keys to be looked at, after each job has found its group.
+std::vector<QueueKey> sortOut(SchedulerState &scheduler, Time now)
+{
+    const std::vector<QueueKey> before(scheduler.queue.begin(), scheduler.queue.end());
+    for (const QueueKey &key : before) {
+        Job &job = scheduler.jobs.at(key.number);
+        const Rank group = groupOf(job, now);
+        if (group == job.group)
+            continue;
+        dequeue(scheduler, job);
+        job.group = group;
+        enqueue(scheduler, job);
+    }
+    return { scheduler.queue.begin(), scheduler.queue.end() };
+}
+
+} // namespace foxwing::scheduler
