--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -50,8 +50,10 @@
 // The members of the group are looked over this often.
 constexpr Milliseconds MembersInterval { 200 };
 
-// A snapshot after so many catalogs keeps the journal, of up to 256 KiB each, within 16 MiB.
-constexpr std::uint32_t SnapshotEvery = 64;
+// A host that starts reads all catalogs since its last snapshot before it can tell one: 11 ms each
+// with 360 queues, on half a core. After a loss of all power entries waited 0.24 s for 31 of them.
+// Each snapshot writes the journal anew, so not after every catalog.
+constexpr std::uint32_t SnapshotEvery = 8;
 
 // After a disk has refused a write, what it holds is only known once it is read again. Full disks
 // stay full for seconds.
