--- a/packages/scheduler/tests/scheduler_test.cpp
+++ b/packages/scheduler/tests/scheduler_test.cpp
@@ -752,7 +752,7 @@
         jobs::AgentUpdate update;
         const std::string name = "agent-" + std::to_string(i % 3);
         update.startsTaken = scheduler.agents.at(name).startsSent;
-        update.free = { 700 * (i % 4), 10000, 0 };
+        update.free = { std::int64_t { 700 } * (i % 4), 10000, 0 };
         update.mostStarts = 1000;
         note(agentUpdated(scheduler, name, update, now));
         note(tick(scheduler, now));
