Keep the linter's clean verdicts by the exact text they were given for

Change: tools/tidyfile.sh runs the linter over a file unless it found nothing in exactly the same text before: the preprocessed text with headers and comments, the linter's settings and version. Only clean results are kept, in the user's cache folder; a new machine has none. Ruled out: linting only changed files (a header changes what is found in files that include it); keeping findings as well (they are to be printed each time).

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -9,7 +9,7 @@
     ;;
 tidy)
     # The linter can't read dynamic exception specifications, so the one C++14 file is left out.
-    files '*.cpp' | grep -v rpcclient.cpp | xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet 2>/dev/null
+    files '*.cpp' | grep -v rpcclient.cpp | xargs -P "$(nproc)" -n 2 tools/tidyfile.sh
     ;;
 *)
     echo "use: lint.sh format|tidy" >&2
