Schedules: a run whose job nobody waits for must end

No schedule looked for it: every caller that left came back. Change: a caller may go for good (CallerCancels), and after each step no run may go on for more than 1.3 s after the last caller of its job went or was answered. Six rows draw it with late orders, agents gone, entries gone, cuts, endpoints reborn, and with all twelve other faults; one guard (a lease of 5 s instead of 0.4) must be found missing by it.

--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -71,6 +71,13 @@
     return faults;
 }
 
+std::vector<Fault> allFaultsAndCancels()
+{
+    std::vector<Fault> faults = allFaults();
+    faults.insert(faults.end(), 4, Fault::CallerCancels);
+    return faults;
+}
+
 class Promises : public testing::TestWithParam<FaultCase>
 { };
 
@@ -116,23 +123,33 @@
 
 INSTANTIATE_TEST_SUITE_P(
         Fleet, Promises,
-        testing::Values(FaultCase { "EntryKill", { Fault::EntryKill }, 90 },
-                        FaultCase { "EntryFreeze", { Fault::EntryFreeze }, 78 },
-                        FaultCase { "AgentKill", { Fault::AgentKill }, 83 },
-                        FaultCase { "AgentFreeze", { Fault::AgentFreeze }, 81 },
-                        FaultCase { "Cut", { Fault::Cut }, 81 },
-                        FaultCase { "LateOrders", { Fault::LateOrders }, 95 },
-                        FaultCase { "EndpointCrash", { Fault::EndpointCrash }, 90 },
-                        FaultCase { "EndpointDark", { Fault::EndpointDark }, 83 },
-                        FaultCase { "EndpointHang", { Fault::EndpointHang }, 82 },
-                        FaultCase { "EndpointSlow", { Fault::EndpointSlow }, 79 },
-                        FaultCase { "EndpointFails", { Fault::EndpointFails }, 81 },
-                        FaultCase { "CallerLeaves", { Fault::CallerLeaves }, 96 },
-                        FaultCase { "LateOrdersAndKills",
-                                    { Fault::LateOrders, Fault::AgentKill, Fault::EntryKill },
-                                    91 },
-                        FaultCase { "CutsAndLateOrders", { Fault::Cut, Fault::LateOrders }, 88 },
-                        FaultCase { "All", allFaults(), 85 }),
+        testing::Values(
+                FaultCase { "EntryKill", { Fault::EntryKill }, 90 },
+                FaultCase { "EntryFreeze", { Fault::EntryFreeze }, 78 },
+                FaultCase { "AgentKill", { Fault::AgentKill }, 83 },
+                FaultCase { "AgentFreeze", { Fault::AgentFreeze }, 81 },
+                FaultCase { "Cut", { Fault::Cut }, 81 },
+                FaultCase { "LateOrders", { Fault::LateOrders }, 95 },
+                FaultCase { "EndpointCrash", { Fault::EndpointCrash }, 90 },
+                FaultCase { "EndpointDark", { Fault::EndpointDark }, 83 },
+                FaultCase { "EndpointHang", { Fault::EndpointHang }, 82 },
+                FaultCase { "EndpointSlow", { Fault::EndpointSlow }, 79 },
+                FaultCase { "EndpointFails", { Fault::EndpointFails }, 81 },
+                FaultCase { "CallerLeaves", { Fault::CallerLeaves }, 96 },
+                FaultCase { "LateOrdersAndKills",
+                            { Fault::LateOrders, Fault::AgentKill, Fault::EntryKill },
+                            91 },
+                FaultCase { "CutsAndLateOrders", { Fault::Cut, Fault::LateOrders }, 88 },
+                FaultCase { "All", allFaults(), 85 },
+                FaultCase {
+                        "CancelThenLateStart", { Fault::CallerCancels, Fault::LateOrders }, 95 },
+                FaultCase { "CancelAndAgentGone", { Fault::CallerCancels, Fault::AgentKill }, 83 },
+                FaultCase { "CancelAndEntryGone", { Fault::CallerCancels, Fault::EntryKill }, 88 },
+                FaultCase { "CancelAndCut", { Fault::CallerCancels, Fault::Cut }, 81 },
+                FaultCase { "CancelAndEndpointReborn",
+                            { Fault::CallerCancels, Fault::EndpointCrash },
+                            90 },
+                FaultCase { "CancelAndAll", allFaultsAndCancels(), 83 }),
         [](const auto &tested) { return tested.param.name; });
 
 // [SECTION] Guards
@@ -183,6 +200,13 @@
                 GuardCase { "Lease",
                             [](WorldSettings &s) { s.runner.leaseSpan = Milliseconds(5000); },
                             { Fault::AgentKill } },
+                // The same where nobody sends the cancelled job again.
+                GuardCase { "LeaseAfterCancel",
+                            [](WorldSettings &s) {
+                                s.runner.leaseSpan = Milliseconds(5000);
+                                s.mostFaults = 12;
+                            },
+                            { Fault::CallerCancels, Fault::AgentKill } },
                 // Starts of an earlier life of the agent are carried out late.
                 GuardCase { "Deadline",
                             [](WorldSettings &s) {
--- a/tests/fleet/world.cpp
+++ b/tests/fleet/world.cpp
@@ -25,6 +25,11 @@
 constexpr Milliseconds TickInterval { 20 };
 constexpr Milliseconds BeatInterval { 1500 };
 constexpr Milliseconds ResendAfter { 1300 };
+
+// Within it a run ends whose job nobody waits for: the entry is silent for 450 ms, then the lease
+// ends after 400 ms and 2 percent, and a stop takes 50 ms; less than after which a caller that lost
+// its entry sends the job again.
+constexpr Milliseconds UnwantedRunBound { 1300 };
 const jobs::Room Capacity { 16000, 65536, 0 };
 
 // Work after the last job came, so that every answer is out.
@@ -177,6 +182,7 @@
                 submit(spec, firstSent);
         });
     m_calls[call] = { spec, chosen, m_now > firstSent };
+    ++m_callers[spec.id];
     on(entry, LinkDelay, [this, call, chosen] {
         Entry &taker = *m_entries[static_cast<std::size_t>(chosen)];
         scheduler::JobTerms terms;
@@ -200,10 +206,21 @@
     if (found == m_calls.end())
         return;
     const jobs::JobSpec spec = found->second.spec;
-    m_calls.erase(found);
+    closeCall(call);
     at(m_now + ResendAfter, [this, spec, sent = m_now] { submit(spec, sent); });
 }
 
+void World::closeCall(std::uint64_t call)
+{
+    const auto found = m_calls.find(call);
+    if (found == m_calls.end())
+        return;
+    const std::string &job = found->second.spec.id;
+    if (--m_callers[job] == 0)
+        m_unwantedSince[job] = m_now;
+    m_calls.erase(found);
+}
+
 void World::answered(int number, const scheduler::JobAnswer &answer)
 {
     Entry &entry = *m_entries[static_cast<std::size_t>(number)];
@@ -228,7 +245,7 @@
         ++m_outcome.timedOut;
         break;
     }
-    m_calls.erase(call->second);
+    closeCall(call->second);
     entry.calls.erase(call);
 }
 
@@ -558,23 +575,35 @@
         later([this, agentNumber] { m_agents[agentNumber]->endpoint->failsAll = false; });
         break;
     case Fault::CallerLeaves:
-        // The connection of one caller is reset; it sends the job again, to any entry.
-        if (!entry.up || entry.calls.empty())
-            return;
-        on(entry, LinkDelay, [this, entryNumber, number = entry.calls.begin()->first] {
-            Entry &left = *m_entries[entryNumber];
-            const auto call = left.calls.find(number);
-            if (call == left.calls.end())
-                return;
-            const std::uint64_t lost = call->second;
-            left.calls.erase(call);
-            carryOut(static_cast<int>(entryNumber), scheduler::abandon(left.state, number, m_now));
-            callerLost(lost);
-        });
+        callerGoes(static_cast<int>(entryNumber), true);
+        break;
+    case Fault::CallerCancels:
+        callerGoes(static_cast<int>(entryNumber), false);
         break;
     }
 }
 
+// The connection of one caller is reset. One that comes back sends the job again, to any entry.
+void World::callerGoes(int number, bool comesBack)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    if (!entry.up || entry.calls.empty())
+        return;
+    on(entry, LinkDelay, [this, number, comesBack, job = entry.calls.begin()->first] {
+        Entry &left = *m_entries[static_cast<std::size_t>(number)];
+        const auto call = left.calls.find(job);
+        if (call == left.calls.end())
+            return;
+        const std::uint64_t lost = call->second;
+        left.calls.erase(call);
+        carryOut(number, scheduler::abandon(left.state, job, m_now));
+        if (comesBack)
+            callerLost(lost);
+        else
+            closeCall(lost);
+    });
+}
+
 // [SECTION] Promises
 
 void World::violate(std::uint64_t &counter, const std::string &what)
@@ -595,6 +624,9 @@
             used += m_specs.at(id.task.job).steps[id.task.step].room;
             if (!running.insert(id.task).second)
                 violate(m_outcome.runsOverlapped, "two runs of " + id.task.job);
+            const std::string &job = id.task.job;
+            if (m_callers[job] == 0 && m_now > m_unwantedSince[job] + UnwantedRunBound)
+                violate(m_outcome.runsUnwanted, "nobody waits for " + job);
         }
         if (!jobs::fits(used, Capacity))
             violate(m_outcome.roomExceeded, "room exceeded at " + agent->endpoint->life);
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -3,7 +3,8 @@
     job again after they have lost their entry, and faults drawn from a seed.
 
     Everything that decides is the code that the daemon runs. After each step the promises are
-    checked from what the endpoints run: room is never exceeded, and no task has two runs at once.
+    checked from what the endpoints run: room is never exceeded, no task has two runs at once, and
+    none goes on once nobody waits for its job.
 
     [SECTION] Settings
     [SECTION] World
@@ -36,7 +37,12 @@
     EndpointSlow,
     EndpointFails,
     CallerLeaves,
+
+    // A caller goes and does not come back.
+    CallerCancels,
 };
+
+// Drawn together as "all": those after which every job is sent again until it is answered
 constexpr int Faults = 12;
 
 struct WorldSettings
@@ -72,6 +78,9 @@
     std::uint64_t falseNotRun = 0;
     std::uint64_t roomExceeded = 0;
     std::uint64_t runsOverlapped = 0;
+
+    // Runs that went on long after nobody waited for their job
+    std::uint64_t runsUnwanted = 0;
     std::string firstViolation;
 };
 
@@ -98,6 +107,8 @@
     void submitJobs();
     void submit(const jobs::JobSpec &spec, Time firstSent);
     void callerLost(std::uint64_t call);
+    void closeCall(std::uint64_t call);
+    void callerGoes(int entry, bool comesBack);
     void tickEntry(int entry);
     void tickAgent(int agent);
     void connect(int entry, int agent);
@@ -146,6 +157,10 @@
     // Tasks' rooms and work, by job
     std::map<std::string, jobs::JobSpec> m_specs;
     std::set<std::string> m_began;
+
+    // By job: callers that wait for it, and when the last one ceased to
+    std::map<std::string, int> m_callers;
+    std::map<std::string, Time> m_unwantedSince;
     WorldOutcome m_outcome;
 };
 
