Look at waiting work only where room grew

Cause: an entry went through all that waits, and for each task through all endpoints, at each of the 2,600 pieces of news that it gets in a second from 80 agents, though most tell of less room. An entry of 0.12 core queued for its processor in bursts. Change: news of less or the same room places nothing; news of more room is tried at that endpoint alone, since what waits found no room elsewhere when it was last looked at (SchedulerState::untried says when it was not). New work, freed tasks, steps that become ready and each tick go through everything as before. foxwing_endpoints_tried_total counts. Figures: sixteen jobs waiting, eighty endpoints: 1,280 endpoints looked at for a piece of news, now 0 for less room and 16 for more (test News; it fails when all news is gone through).

--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -432,6 +432,8 @@
           count(counters.startsRefused) },
         { "foxwing_runs_moved_total", "Runs stopped for being behind", count(counters.runsMoved) },
         { "foxwing_runs_lost_total", "Runs on agents that were lost", count(counters.runsLost) },
+        { "foxwing_endpoints_tried_total", "Endpoints looked at to place tasks",
+          count(counters.endpointsTried) },
         { "foxwing_not_found_total", "Calls without a queue", count(m_notFound) },
         { "foxwing_bad_requests_total", "Jobs that could not be read", count(m_badRequests) },
     };
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -317,6 +317,9 @@
     std::uint64_t startsRefused = 0;
     std::uint64_t runsMoved = 0;
     std::uint64_t runsLost = 0;
+
+    // Endpoints that were looked at to place tasks
+    std::uint64_t endpointsTried = 0;
 };
 
 struct SchedulerState
@@ -329,6 +332,9 @@
     // The newest job of each id
     std::map<std::string, std::uint64_t> byId;
     std::set<QueueKey> queue;
+
+    // Some waiting work was not looked at yet with the room as it is.
+    bool untried = false;
     std::map<std::string, Agent> agents;
 
     // By queue
--- a/packages/scheduler/src/ending.cpp
+++ b/packages/scheduler/src/ending.cpp
@@ -250,6 +250,9 @@
     --job.outstanding;
     --job.tasksLeft[task.step];
     ++job.done;
+    // A step that waited for this one may begin.
+    if (job.tasksLeft[task.step] == 0 && job.waiting > 0)
+        scheduler.untried = true;
     if (job.done < job.tasks.size())
         return;
     noteRunTime(scheduler.runTimes[job.terms.queue], job.guessed,
--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -15,6 +15,11 @@
 
 // Starts what can start now.
 void place(SchedulerState &scheduler, Time now, SchedulerActions &actions);
+
+// The same where only one agent's room has grown since work was last placed: nothing that waits
+// found room elsewhere then, and nothing does now.
+void placeAt(SchedulerState &scheduler, const std::string &agent, Time now,
+             SchedulerActions &actions);
 QueueKey keyOf(const SchedulerState &scheduler, const Job &job);
 
 // All waiting jobs in their order, after each has found its rank at this time.
--- a/packages/scheduler/src/order.cpp
+++ b/packages/scheduler/src/order.cpp
@@ -39,8 +39,10 @@
 
 void enqueue(SchedulerState &scheduler, Job &job)
 {
-    if (!job.over && job.waiting > 0 && job.waitsFor == 0)
-        scheduler.queue.insert(keyOf(scheduler, job));
+    if (job.over || job.waiting == 0 || job.waitsFor != 0)
+        return;
+    scheduler.queue.insert(keyOf(scheduler, job));
+    scheduler.untried = true;
 }
 
 void dequeue(SchedulerState &scheduler, const Job &job)
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -96,16 +96,27 @@
             && belowStepLimit(job, task.step, step.mostPerEndpoint, id);
 }
 
+// The agents that are looked at.
+struct AgentRange
+{
+    std::map<std::string, Agent>::iterator from;
+    std::map<std::string, Agent>::iterator to;
+
+    std::map<std::string, Agent>::iterator begin() const { return from; }
+    std::map<std::string, Agent>::iterator end() const { return to; }
+};
+
 // Where its room comes free soonest: by what is lacking against all that the endpoint has, and by
 // pace. Nothing if too much is lacking everywhere.
-Agent *chooseWait(SchedulerState &scheduler, const Job &job, const Task &task, std::string *name)
+Agent *chooseWait(SchedulerState &scheduler, const AgentRange &agents, const Job &job,
+                  const Task &task, std::string *name)
 {
     const std::int64_t most = scheduler.settings.waitPercent;
     constexpr double LackWeight = 5;
     const jobs::StepSpec &step = job.spec.steps[task.step];
     Agent *best = nullptr;
     double bestCost = 0;
-    for (auto &[id, agent] : scheduler.agents) {
+    for (auto &[id, agent] : agents) {
         const std::int64_t lacks = step.room.milliCores - roomAt(agent).milliCores;
         const std::int64_t capacity = agent.endpoint.capacity.milliCores;
         if (!mayTakeTask(agent, job, task, id) || isAvoided(task, id)
@@ -123,13 +134,15 @@
     return best;
 }
 
-Agent *chooseAgent(SchedulerState &scheduler, const Job &job, const Task &task, std::string *name)
+Agent *chooseAgent(SchedulerState &scheduler, const AgentRange &agents, const Job &job,
+                   const Task &task, std::string *name)
 {
     const jobs::StepSpec &step = job.spec.steps[task.step];
     Agent *best = nullptr;
     double bestCost = 0;
     bool bestAvoided = false;
-    for (auto &[id, agent] : scheduler.agents) {
+    for (auto &[id, agent] : agents) {
+        ++scheduler.counters.endpointsTried;
         const jobs::Room free = roomAt(agent);
         if (!jobs::fits(step.room, free) || !mayTakeTask(agent, job, task, id))
             continue;
@@ -201,7 +214,8 @@
 }
 
 // Starts as many of the job's tasks as find room; true if none is left waiting.
-bool placeJob(SchedulerState &scheduler, Job &job, Time now, SchedulerActions &actions)
+bool placeJob(SchedulerState &scheduler, const AgentRange &agents, Job &job, Time now,
+              SchedulerActions &actions)
 {
     std::vector<std::pair<std::string, jobs::StartTasks>> messages;
     const Milliseconds wait = waitFor(scheduler, job, now);
@@ -210,9 +224,9 @@
         if (task.state != TaskState::Waiting || !stepIsReady(job, task.step))
             continue;
         std::string name;
-        Agent *agent = chooseAgent(scheduler, job, task, &name);
+        Agent *agent = chooseAgent(scheduler, agents, job, task, &name);
         if (!agent && wait.count() > 0)
-            agent = chooseWait(scheduler, job, task, &name);
+            agent = chooseWait(scheduler, agents, job, task, &name);
         if (!agent) {
             all = false;
             break;
@@ -246,12 +260,9 @@
     });
 }
 
-} // namespace
-
-void place(SchedulerState &scheduler, Time now, SchedulerActions &actions)
+void placeAmong(SchedulerState &scheduler, const AgentRange &agents, Time now,
+                SchedulerActions &actions)
 {
-    if (scheduler.queue.empty())
-        return;
     std::size_t passedOver = 0;
     for (const QueueKey &key : sortOut(scheduler, now)) {
         if (passedOver >= scheduler.settings.mostPassedOver)
@@ -260,10 +271,29 @@
         if (!hasReadyTask(job))
             continue;
         dequeue(scheduler, job);
-        if (!placeJob(scheduler, job, now, actions))
+        if (!placeJob(scheduler, agents, job, now, actions))
             ++passedOver;
         enqueue(scheduler, job);
     }
+    scheduler.untried = false;
+}
+
+} // namespace
+
+void place(SchedulerState &scheduler, Time now, SchedulerActions &actions)
+{
+    if (scheduler.queue.empty())
+        return;
+    placeAmong(scheduler, { scheduler.agents.begin(), scheduler.agents.end() }, now, actions);
+}
+
+void placeAt(SchedulerState &scheduler, const std::string &agent, Time now,
+             SchedulerActions &actions)
+{
+    const auto found = scheduler.agents.find(agent);
+    if (scheduler.queue.empty() || found == scheduler.agents.end())
+        return;
+    placeAmong(scheduler, { found, std::next(found) }, now, actions);
 }
 
 } // namespace foxwing::scheduler
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -131,15 +131,11 @@
     return actions;
 }
 
-SchedulerActions agentUpdated(SchedulerState &scheduler, const std::string &name,
-                              const jobs::AgentUpdate &update, Time now)
+namespace {
+
+// Takes over what the agent tells of its room.
+void takeRoom(Agent &agent, const jobs::AgentUpdate &update)
 {
-    SchedulerActions actions;
-    const auto found = scheduler.agents.find(name);
-    if (found == scheduler.agents.end() || !found->second.welcomed)
-        return actions;
-    Agent &agent = found->second;
-    agent.heardAt = now;
     if (!update.endpoint.empty())
         agent.endpoint = update.endpoint.front();
     agent.endpoint.free = update.free;
@@ -152,11 +148,40 @@
     };
     agent.pending.erase(std::remove_if(agent.pending.begin(), agent.pending.end(), taken),
                         agent.pending.end());
+}
+
+// Whether a start that found no room may find some now.
+bool grew(const jobs::Room &before, const jobs::Room &room)
+{
+    return room.milliCores > before.milliCores || room.megabytes > before.megabytes
+            || room.accelerators > before.accelerators;
+}
+
+} // namespace
+
+SchedulerActions agentUpdated(SchedulerState &scheduler, const std::string &name,
+                              const jobs::AgentUpdate &update, Time now)
+{
+    SchedulerActions actions;
+    const auto found = scheduler.agents.find(name);
+    if (found == scheduler.agents.end() || !found->second.welcomed)
+        return actions;
+    Agent &agent = found->second;
+    agent.heardAt = now;
+    const jobs::Room roomBefore = roomAt(agent);
+    const std::uint32_t startsBefore = agent.endpoint.mostStarts;
+    takeRoom(agent, update);
     for (const jobs::RunReport &report : update.ended)
         runEnded(scheduler, name, report, now, actions);
     for (const jobs::LagReport &report : update.lagging)
         runLags(scheduler, name, report, now, actions);
-    place(scheduler, now, actions);
+    // Most news tells of less room. With sixteen jobs that wait and eighty endpoints, one piece of
+    // news had 1,280 endpoints looked at; now none if there is less room, and sixteen if there is
+    // more.
+    if (scheduler.untried || !update.endpoint.empty())
+        place(scheduler, now, actions);
+    else if (grew(roomBefore, roomAt(agent)) || agent.endpoint.mostStarts > startsBefore)
+        placeAt(scheduler, name, now, actions);
     return actions;
 }
 
--- a/packages/scheduler/tests/placing_test.cpp
+++ b/packages/scheduler/tests/placing_test.cpp
@@ -101,6 +101,39 @@
     EXPECT_EQ(startsIn(bench.report("agent-0", { endOf("job", 1, 1, RunEnd::Done) })), 3U);
 }
 
+// Eighty full endpoints, sixteen jobs that wait, and one endpoint that tells its room.
+struct NewsCase
+{
+    const char *name;
+    std::int64_t freeBefore;
+    std::int64_t freeNow;
+    std::uint64_t mostTried;
+    std::size_t started;
+};
+
+class News : public testing::TestWithParam<NewsCase>
+{ };
+
+TEST_P(News, OfRoomIsLookedAtOnlyWhereItGrew)
+{
+    Bench bench(std::vector<std::int64_t>(80, 16000));
+    for (const auto &[name, agent] : bench.scheduler.agents)
+        bench.report(name, {}, GetParam().freeBefore);
+    for (int i = 0; i < 16; ++i)
+        bench.submit("job-" + std::to_string(i), 4);
+    const std::uint64_t before = bench.scheduler.counters.endpointsTried;
+    const SchedulerActions actions = bench.report("agent-7", {}, GetParam().freeNow);
+    EXPECT_LE(bench.scheduler.counters.endpointsTried - before, GetParam().mostTried);
+    EXPECT_EQ(startsIn(actions), GetParam().started);
+}
+
+INSTANTIATE_TEST_SUITE_P(Scheduler, News,
+                         testing::Values(NewsCase { "Less", 900, 500, 0, 0 },
+                                         NewsCase { "Same", 900, 900, 0, 0 },
+                                         NewsCase { "TooLittleMore", 500, 900, 16, 0 },
+                                         NewsCase { "RoomForThree", 500, 3500, 32, 3 }),
+                         [](const auto &tested) { return tested.param.name; });
+
 // An entry of one data centre among endpoints of two, four cores each: how many of a job's tasks,
 // of a core each, start at the entry's own.
 struct AwayCase
