Take the settings of the tests' bench by reference

Change: reference instead of a copy; braces around an if that the compiler warned of. Conclusion: no test or decision changed.

--- a/packages/scheduler/tests/admission_test.cpp
+++ b/packages/scheduler/tests/admission_test.cpp
@@ -98,8 +98,9 @@
     bench.priority = GetParam().priority;
     const SchedulerActions actions = bench.submit("job", 1);
     ASSERT_EQ(actions.answers.size(), GetParam().refused ? 1U : 0U);
-    if (GetParam().refused)
+    if (GetParam().refused) {
         EXPECT_EQ(actions.answers[0].outcome, JobOutcome::NotRun);
+    }
 }
 
 INSTANTIATE_TEST_SUITE_P(Scheduler, Arrivals,
--- a/packages/scheduler/tests/bench.h
+++ b/packages/scheduler/tests/bench.h
@@ -34,7 +34,7 @@
 
 struct Bench
 {
-    explicit Bench(std::vector<std::int64_t> cores, SchedulerSettings settings = {})
+    explicit Bench(const std::vector<std::int64_t> &cores, const SchedulerSettings &settings = {})
         : scheduler(makeScheduler(settings))
     {
         for (std::size_t i = 0; i < cores.size(); ++i)
