Shrink the telling interval with the silence bounds

Cause: where callers send again sooner than usual, the silence after which an entry gives an agent up shrinks with it, and the 100 ms between two pieces of news did not: at 500 ms the entry would pass over agents that are there, under about 400 ms give them up without end. Change: the interval and the quiet bound shrink by the same factor. Ruled out: an effect on the sites played: their callers send again after 1.3 s, where nothing shrinks. Figures: the new row (500 ms) of the test Resend failed with a quiet bound of 220 ms against a silence of 168 ms; it passes now. Conclusion: found by reading the change; no run showed it.

--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -141,8 +141,10 @@
     shrink(entry.certainSilence);
     shrink(entry.agentSilence);
     shrink(entry.beatInterval);
+    shrink(entry.quietAfter);
     shrink(agent.ownerSilence);
     shrink(agent.leaseSpan);
+    shrink(agent.calmInterval);
 }
 
 } // namespace
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -140,10 +140,15 @@
     EXPECT_LT(agent.ownerSilence + agent.leaseSpan * 102 / 100, entry.certainSilence);
     EXPECT_LT(entry.agentSilence, agent.ownerSilence);
     EXPECT_LT(entry.beatInterval * 2, agent.ownerSilence);
+
+    // An agent that is there is neither given up nor passed over between two pieces of news.
+    EXPECT_LT(agent.calmInterval * 2, entry.quietAfter);
+    EXPECT_LT(entry.quietAfter, entry.agentSilence);
 }
 
 INSTANTIATE_TEST_SUITE_P(Fleet, Resend,
                          testing::Values(ResendCase { "Usual", 1300 }, ResendCase { "Short", 900 },
+                                         ResendCase { "Shorter", 500 },
                                          ResendCase { "Long", 5000 }),
                          [](const auto &tested) { return tested.param.name; });
 
