--- a/tools/tidyfile.sh
+++ b/tools/tidyfile.sh
@@ -2,7 +2,8 @@
 # tidyfile.sh FILE...: runs the linter over each file, unless it found nothing in exactly the same text before.
 #
 # The text is what the compiler sees, headers and comments included, with the linter's settings and version; only clean
-# results are kept. A whole run over all files takes a quarter of an hour on eight cores, a second one some seconds.
+# results are kept. Of a whole check on eight cores the linter took about 37 minutes of processor the first time, and
+# 55 seconds the second time.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 root=$PWD
