Refuse a start that waited beyond its time, also where room is free

Cause: an agent that stood still (frozen, no processor) goes through what came meanwhile in the order it came. If the answer to its look, which frees room, comes before the end of the entry's session is noticed, a start that waits for room was begun whatever its time. Its entry gives the agent up after 400 ms and may start the task elsewhere after 950 ms: two runs of one task, for up to a tick. Found by reading, while starts that wait in a cordoned data centre were given back.

Change: its time is looked at first. Test WaitingStart.IsNotBegunAfterItsTime failed before (the start was ordered) and passes now.

Ruled out: looking at the session's silence instead; the time of the wait (at most 50 ms) is shorter than any pause that matters, and needs no other state.

--- a/packages/runner/src/waiting.cpp
+++ b/packages/runner/src/waiting.cpp
@@ -60,10 +60,12 @@
     for (const WaitingStart &start : rest) {
         if (!mayStart || mostStarts(runner, now) == 0) {
             refuseStart(runner, start.session, start.id, never);
-        } else if (!blocked && jobs::fits(start.room, freeRoom(runner))) {
-            startRun(runner, start, now, actions);
         } else if (now >= start.until) {
+            // Also where room is free by now: after a pause of this process its entry may have
+            // started the task elsewhere long ago, and both would run.
             refuseStart(runner, start.session, start.id, RefusedStart::NoRoom);
+        } else if (!blocked && jobs::fits(start.room, freeRoom(runner))) {
+            startRun(runner, start, now, actions);
         } else {
             // What comes free is kept for it: smaller ones would take it away for ever.
             blocked = true;
--- a/packages/runner/tests/runner_test.cpp
+++ b/packages/runner/tests/runner_test.cpp
@@ -389,6 +389,20 @@
     EXPECT_EQ(ends[0].refused, RefusedStart::NotReady);
 }
 
+// An agent that stood still finds its waiting starts long after their entry has started them
+// elsewhere, and may learn of room before it learns that the entry has gone.
+TEST(WaitingStart, IsNotBegunAfterItsTime)
+{
+    Bench bench;
+    bench.start(1, 4000);
+    bench.pass(bench.runner.settings.lookPause);
+    ASSERT_TRUE(bench.runner.lookUnderWay);
+    bench.startOrWait(11, 600);
+    bench.now += Milliseconds(1500);
+    EXPECT_TRUE(startedIn(bench.end(1)).empty());
+    EXPECT_TRUE(bench.runner.waiting.empty());
+}
+
 // [SECTION] Unanswered orders
 
 TEST(RunnerUnanswered, AStartIsOrderedAgainUnderTheSameNumber)
