--- /dev/null
+++ b/packages/catalog/tests/agreed_test.cpp
@@ -0,0 +1,95 @@
+/*
+    What commands of the agreement group change.
+
+    [SECTION] Helpers
+    [SECTION] Orders
+    [SECTION] Snapshots
+*/
+#include <gtest/gtest.h>
+
+#include <foxwing/base/codec.h>
+#include <foxwing/catalog/agreed.h>
+
+namespace foxwing::catalog {
+namespace {
+
+// [SECTION] Helpers
+
+AgreedState stateWith(const std::vector<std::string> &dataCentres, std::uint64_t revision)
+{
+    AgreedState state;
+    state.cordons = { revision, dataCentres };
+    return state;
+}
+
+// [SECTION] Orders
+
+struct OrderCase
+{
+    const char *name;
+    std::vector<std::string> before;
+    CordonOrder order;
+    Applied applied;
+    std::vector<std::string> after;
+};
+
+class Orders : public testing::TestWithParam<OrderCase>
+{ };
+
+// The cordons have revision 5.
+TEST_P(Orders, ChangeOnlyTheCordonsThatTheyWereGivenUpon)
+{
+    AgreedState state = stateWith(GetParam().before, 5);
+    EXPECT_EQ(apply(state, GetParam().order), GetParam().applied);
+    EXPECT_EQ(state.cordons.dataCentres, GetParam().after);
+    EXPECT_EQ(state.cordons.revision, GetParam().applied == Applied::Changed ? 6U : 5U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Agreed, Orders,
+        testing::Values(
+                OrderCase { "First", {}, { "b", true, 5 }, Applied::Changed, { "b" } },
+                OrderCase { "Second", { "b" }, { "a", true, 5 }, Applied::Changed, { "a", "b" } },
+                // Withdrawals that were ordered before and are still on their way end with it.
+                OrderCase { "AsItIs", { "b" }, { "b", true, 5 }, Applied::Changed, { "b" } },
+                // The answer was lost: asking again for what is so never fails.
+                OrderCase { "AgainLate", { "b" }, { "b", true, 4 }, Applied::Unchanged, { "b" } },
+                OrderCase {
+                        "Withdrawn", { "a", "b" }, { "a", false, 5 }, Applied::Changed, { "b" } },
+                OrderCase {
+                        "WithdrawnAgain", { "b" }, { "a", false, 3 }, Applied::Unchanged, { "b" } },
+                // Held up on its way, while the opposite was ordered and acknowledged.
+                OrderCase { "LateAfterItsWithdrawal", {}, { "b", true, 4 }, Applied::Outdated, {} },
+                OrderCase {
+                        "LateWithdrawal", { "b" }, { "b", false, 4 }, Applied::Outdated, { "b" } }),
+        [](const auto &tested) { return tested.param.name; });
+
+TEST(AgreedCatalog, LeavesCordonsAlone)
+{
+    AgreedState state = stateWith({ "b" }, 5);
+    DeclaredCatalog declared;
+    declared.catalog.version = 3;
+    EXPECT_EQ(apply(state, declared), Applied::Changed);
+    EXPECT_EQ(apply(state, declared), Applied::Unchanged);
+    EXPECT_EQ(state.declared.catalog.version, 3U);
+    EXPECT_EQ(state.cordons.revision, 5U);
+}
+
+// [SECTION] Snapshots
+
+TEST(AgreedSnapshot, HoldsCatalogAndCordons)
+{
+    AgreedState state = stateWith({ "a", "odd \"name\"" }, 7);
+    state.declared.catalog.version = 9;
+    state.declared.text = "{}";
+    Error reason;
+    const auto json = parseJson(writeJson(toJson(state)), &reason);
+    AgreedState read;
+    ASSERT_TRUE(json && fromJson(*json, &read, &reason)) << reason.message;
+    EXPECT_EQ(read.cordons.dataCentres, state.cordons.dataCentres);
+    EXPECT_EQ(read.cordons.revision, 7U);
+    EXPECT_EQ(read.declared.catalog.version, 9U);
+}
+
+} // namespace
+} // namespace foxwing::catalog
--- a/packages/fabric/include/foxwing/fabric/httpserver.h
+++ b/packages/fabric/include/foxwing/fabric/httpserver.h
@@ -58,6 +58,9 @@
     void answer(Response response);
     bool answered() const { return m_answered; }
 
+    // False if the caller has closed its connection already, which onGone() tells a moment later.
+    bool callerIsThere() const;
+
     // Called if the caller goes before the answer.
     void onGone(std::function<void()> handler) { m_gone = std::move(handler); }
 
--- a/packages/fabric/src/httpserver.cpp
+++ b/packages/fabric/src/httpserver.cpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cerrno>
 #include <set>
 #include <sys/socket.h>
 
@@ -176,14 +177,18 @@
                             [self = shared_from_this()](boost::system::error_code wrong) {
                                 if (wrong || self->m_closed || !self->m_exchange)
                                     return;
-                                char byte = 0;
-                                const auto got = ::recv(self->m_socket.native_handle(), &byte, 1,
-                                                        MSG_PEEK | MSG_DONTWAIT);
-                                if (got <= 0)
+                                if (!self->callerIsThere())
                                     self->close();
                             });
     }
 
+    bool callerIsThere()
+    {
+        char byte = 0;
+        const auto got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+    }
+
     void callerGone()
     {
         const ExchangePtr exchange = m_exchange;
@@ -238,6 +243,12 @@
     , m_connection(std::move(connection))
 { }
 
+bool Exchange::callerIsThere() const
+{
+    const auto connection = m_connection.lock();
+    return connection && !connection->m_closed && connection->callerIsThere();
+}
+
 void Exchange::answer(Response response)
 {
     if (m_answered)
--- a/packages/fabric/tests/http_test.cpp
+++ b/packages/fabric/tests/http_test.cpp
@@ -145,6 +145,28 @@
     site.exchanges[0]->answer(makeResponse(200, "text/plain", ""));
 }
 
+// A caller that sent its request and went before anybody read it: nothing has told of it yet.
+TEST(FabricHttpServer, KnowsThatACallerHasGoneWithItsRequest)
+{
+    Site site;
+    site.answers = false;
+    Socket leaver(site.io);
+    leaver.connect(*parseEndpoint(site.address, nullptr));
+    Socket stayer(site.io);
+    stayer.connect(*parseEndpoint(site.address, nullptr));
+    const std::string request = "POST /order HTTP/1.1\r\nHost: a\r\n\r\n";
+    asio::write(leaver, asio::buffer(request));
+    leaver.close();
+    asio::write(stayer, asio::buffer(request));
+    std::vector<bool> there;
+    site.until([&] {
+        while (there.size() < site.exchanges.size())
+            there.push_back(site.exchanges[there.size()]->callerIsThere());
+        return there.size() == 2;
+    });
+    EXPECT_EQ(there, std::vector<bool>({ false, true }));
+}
+
 TEST(FabricHttpServer, AnswersWhatIsUnderWayWhenItStopsAccepting)
 {
     Site site;
--- a/packages/fleet/include/foxwing/fleet/dialect.h
+++ b/packages/fleet/include/foxwing/fleet/dialect.h
@@ -79,13 +79,8 @@
 
 // [SECTION] Operators
 
-enum class OperatorWish {
-    Declare,
-    Read,
-    Other,
-};
-
 using operators::OperatorOutcome;
+using operators::OperatorRequest;
 
 // [SECTION] Dialect
 
@@ -116,9 +111,8 @@
     runner::Look (*readLook)(const fabric::Response &response) = nullptr;
 
     // Operators
-    OperatorWish (*readOperatorCall)(const fabric::Request &request) = nullptr;
-    std::optional<catalog::DeclaredCatalog> (*readCatalog)(const fabric::Request &request,
-                                                           Error *reason) = nullptr;
+    std::optional<OperatorRequest> (*readOperatorCall)(const fabric::Request &request,
+                                                       Error *reason) = nullptr;
     fabric::Response (*writeOperatorAnswer)(OperatorOutcome outcome,
                                             const std::string &reason) = nullptr;
     fabric::Response (*writeCatalog)(const catalog::DeclaredCatalog &declared) = nullptr;
--- a/packages/fleet/include/foxwing/fleet/settings.h
+++ b/packages/fleet/include/foxwing/fleet/settings.h
@@ -51,6 +51,10 @@
     // The whole fleet starts for the first time: the seeds found the agreement group.
     bool firstStart = false;
 
+    // All data centres of the deployment, for control to know an operator's word as a name; empty:
+    // any name is taken.
+    std::vector<std::string> dataCentres;
+
     // Control hosts that may be lost at once; the agreement group keeps enough voters for that.
     std::uint32_t toleratedLosses = 2;
 
--- a/packages/fleet/src/agentshell.cpp
+++ b/packages/fleet/src/agentshell.cpp
@@ -64,10 +64,11 @@
 
 private:
     static fabric::HttpClientSettings clientSettings();
-    static ControlEvents controlEvents();
+    ControlEvents controlEvents();
 
     void entryConnected(const std::shared_ptr<fabric::Link> &link);
     void entryReceived(std::uint64_t session, std::string_view bytes);
+    void openSession(std::uint64_t session, const OpenSession &open, Time now);
     void sendTo(std::uint64_t session, const Frame &frame);
 
     void handleEndpoint(const ExchangePtr &exchange);
@@ -98,12 +99,15 @@
     return settings;
 }
 
-// An agent needs control only to be found.
+// An agent needs control to be found, and to be told of cordons.
 ControlEvents AgentShell::controlEvents()
 {
     ControlEvents events;
     events.directory = [](const std::string &, const directory::DirectoryUpdate &) {};
-    events.catalog = [](const catalog::Catalog &) {};
+    events.agreed = [this](const AgreedPush &push) {
+        carryOut(runner::cordonsHeard(m_runner, push.cordons, runner::CordonSource::Control,
+                                      steadyNow()));
+    };
     return events;
 }
 
@@ -165,7 +169,14 @@
     else if (const auto *beat = std::get_if<jobs::SessionBeat>(&*frame))
         carryOut(runner::sessionBeat(m_runner, session, *beat, now));
     else if (const auto *open = std::get_if<OpenSession>(&*frame))
-        carryOut(runner::openSession(m_runner, session, open->entry, now));
+        openSession(session, *open, now);
+}
+
+void AgentShell::openSession(std::uint64_t session, const OpenSession &open, Time now)
+{
+    for (const catalog::Cordons &cordons : open.cordons)
+        carryOut(runner::cordonsHeard(m_runner, cordons, runner::CordonSource::Entry, now));
+    carryOut(runner::openSession(m_runner, session, open.entry, now));
 }
 
 void AgentShell::sendTo(std::uint64_t session, const Frame &frame)
@@ -280,6 +291,9 @@
     gauge("foxwing_sessions", "Entries in touch", count(m_runner.sessions.size()));
     gauge("foxwing_endpoint_pace", "Time taken against estimates", m_runner.pace);
     gauge("foxwing_endpoint_bad", "Evidence against the endpoint, 0 to 1", m_runner.bad);
+    gauge("foxwing_cordons_revision", "Cordons known here", m_runner.cordons.revision);
+    gauge("foxwing_cordoned", "Whether the endpoint gets nothing new, by a cordon",
+          runner::isCordoned(m_runner) ? 1 : 0);
     gauge("foxwing_control_hosts", "Control hosts in touch", count(m_control.connected()));
     return samples;
 }
--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -1,6 +1,6 @@
 /*
-    A control host of a fleet: the agreement group that keeps the catalog, and the directory of
-    nodes. The operators' interface has a shell of its own.
+    A control host of a fleet: the agreement group that keeps the catalog and the cordons, and the
+    directory of nodes. The operators' interface has a shell of its own.
 
     [SECTION] Shell
     [SECTION] Nodes
@@ -76,8 +76,11 @@
     Time heardAt {};
     std::uint64_t toldRevision = 0;
 
-    // Version of the catalog that was sent there
+    // What is agreed as it was sent there: whether at all, version of the catalog, revision of the
+    // cordons
+    bool toldAgreed = false;
     std::uint64_t toldCatalog = 0;
+    std::uint64_t toldCordons = 0;
 };
 
 // Another control host that this one dials.
@@ -108,7 +111,7 @@
     void nodeConnected(const std::shared_ptr<fabric::Link> &link);
     void nodeReceived(std::uint64_t connection, std::string_view bytes);
     void tellDirectory();
-    void tellCatalog();
+    void tellAgreed();
     bool isCurrent(Time now) const;
     void beatNodes(Time now);
 
@@ -121,7 +124,7 @@
     void sendToMember(const std::string &to, const quorum::QuorumMessage &message);
     bool committed(const std::string &text, std::uint64_t index, std::uint64_t term, Error *reason);
     bool installed(const std::string &text, Error *reason);
-    void adopt(catalog::DeclaredCatalog declared);
+    void adopted(const catalog::AgreedState &before);
     void watchMembers(Time now);
     void reopenJournal(Time now);
 
@@ -133,7 +136,7 @@
     std::unique_ptr<fabric::Listener> m_listener;
     std::unique_ptr<fabric::HttpServer> m_server;
     std::unique_ptr<replica::Replica> m_replica;
-    catalog::DeclaredCatalog m_declared;
+    catalog::AgreedState m_agreed;
     directory::DirectoryState m_directory;
     std::map<std::uint64_t, InnerPeer> m_nodes;
     std::uint64_t m_lastConnection = 0;
@@ -221,16 +224,14 @@
                            .with("address", peer.node.address));
         if (peer.node.role == directory::Role::Control)
             controlIsThere(peer.node.address);
-        tellCatalog();
+        tellAgreed();
     } else if (const auto *group = std::get_if<GroupFrame>(&*frame)) {
         Error reason;
         const auto message = decodeFrame<quorum::QuorumMessage>(group->bytes, &reason);
         if (message && group->to == m_core.self.groupId)
             m_replica->receive(*message);
-    } else if (auto *declare = std::get_if<ForwardDeclare>(&*frame)) {
-        m_operators.handedOver(connection, std::move(*declare));
-    } else if (const auto *read = std::get_if<ForwardRead>(&*frame)) {
-        m_operators.handedOver(connection, *read);
+    } else if (const auto *forward = std::get_if<ForwardCall>(&*frame)) {
+        m_operators.handedOver(connection, *forward);
     }
 }
 
@@ -261,19 +262,34 @@
                 && now < group.leaderHeardAt + CurrentSpan);
 }
 
-void ControlShell::tellCatalog()
+// Whether the node has not been told what it needs of the state.
+bool needsTelling(const InnerPeer &peer, const catalog::AgreedState &agreed)
 {
-    const std::uint64_t version = m_declared.catalog.version;
-    if (version == 0 || !isCurrent(steadyNow()))
+    if (!peer.announced || peer.node.role == directory::Role::Control)
+        return false;
+    const bool newCatalog = peer.node.role == directory::Role::Entry
+            && peer.toldCatalog < agreed.declared.catalog.version;
+    return !peer.toldAgreed || newCatalog || peer.toldCordons < agreed.cordons.revision;
+}
+
+// Also when nothing was declared yet: agents start nothing before they know the cordons.
+void ControlShell::tellAgreed()
+{
+    if (!isCurrent(steadyNow()))
         return;
-    std::string frame;
+    std::map<directory::Role, std::string> frames;
     for (auto &[connection, peer] : m_nodes) {
-        if (!peer.announced || peer.node.role == directory::Role::Control
-            || peer.toldCatalog >= version)
+        if (!needsTelling(peer, m_agreed))
             continue;
-        if (frame.empty())
-            frame = encodeFrame(Frame(CatalogPush { m_declared.catalog }));
-        peer.toldCatalog = version;
+        std::string &frame = frames[peer.node.role];
+        if (frame.empty()) {
+            const bool isEntry = peer.node.role == directory::Role::Entry;
+            frame = encodeFrame(Frame(AgreedPush {
+                    isEntry ? m_agreed.declared.catalog : catalog::Catalog {}, m_agreed.cordons }));
+        }
+        peer.toldAgreed = true;
+        peer.toldCatalog = m_agreed.declared.catalog.version;
+        peer.toldCordons = m_agreed.cordons.revision;
         peer.link->send(frame);
     }
 }
@@ -414,56 +430,67 @@
         peer->second.link->send(encodeFrame(Frame(GroupFrame { to, encodeFrame(message) })));
 }
 
-bool readDeclared(const std::string &text, catalog::DeclaredCatalog *declared, Error *reason)
-{
-    const auto json = parseJson(text, reason);
-    return json && fromJson(*json, declared, reason);
-}
-
-void ControlShell::adopt(catalog::DeclaredCatalog declared)
+// What has changed is logged, and told once for everything that is agreed in this turn: a host that
+// recovers goes through all versions, and only the last one may be seen.
+void ControlShell::adopted(const catalog::AgreedState &before)
 {
-    if (!catalog::supersedes(m_declared.catalog, declared.catalog))
-        return;
-    writeEvent(m_core.log,
-               change("catalog-agreed")
-                       .with("version", declared.catalog.version)
-                       .with("before", m_declared.catalog.version));
-    m_declared = std::move(declared);
-    // Once for everything that is agreed in this turn: a host that recovers goes through all
-    // versions, and only the last one may be seen.
+    const std::uint64_t version = m_agreed.declared.catalog.version;
+    if (version != before.declared.catalog.version)
+        writeEvent(m_core.log,
+                   change("catalog-agreed")
+                           .with("version", version)
+                           .with("before", before.declared.catalog.version));
+    if (m_agreed.cordons.revision != before.cordons.revision)
+        writeEvent(m_core.log,
+                   change("cordons-agreed")
+                           .with("revision", m_agreed.cordons.revision)
+                           .with("data_centres", joinedNames(m_agreed.cordons)));
     if (m_tellPosted)
         return;
     m_tellPosted = true;
     fabric::asio::post(m_core.io, [this] {
         m_tellPosted = false;
-        tellCatalog();
+        tellAgreed();
     });
 }
 
 bool ControlShell::committed(const std::string &text, std::uint64_t index, std::uint64_t term,
                              Error *reason)
 {
-    catalog::DeclaredCatalog declared;
-    if (!readDeclared(text, &declared, reason))
+    const auto json = parseJson(text, reason);
+    const auto command = json ? decodeMessage<catalog::Command>(*json, reason) : std::nullopt;
+    if (!command)
         return false;
-    adopt(std::move(declared));
-    m_operators.committed(index, term);
+    const catalog::AgreedState before = m_agreed;
+    const catalog::Applied applied = catalog::apply(m_agreed, *command);
+    if (applied == catalog::Applied::Changed)
+        adopted(before);
+    m_operators.committed(index, term, applied);
     if (m_replica->wantsSnapshot())
         fabric::asio::post(m_core.io, [this] {
             if (m_replica->wantsSnapshot())
-                m_replica->takeSnapshot(writeJson(toJson(m_declared)));
+                m_replica->takeSnapshot(writeJson(toJson(m_agreed)));
         });
     return true;
 }
 
+// A journal that is opened anew may hold an older snapshot than what is known here. The entries
+// after it then change nothing, up to those that are new: each state has its own version and
+// revision, and entries that led there are outdated.
 bool ControlShell::installed(const std::string &text, Error *reason)
 {
-    catalog::DeclaredCatalog declared;
+    catalog::AgreedState installed;
     if (text.empty())
         return true;
-    if (!readDeclared(text, &declared, reason))
+    const auto json = parseJson(text, reason);
+    if (!json || !fromJson(*json, &installed, reason))
         return false;
-    adopt(std::move(declared));
+    const catalog::AgreedState before = m_agreed;
+    if (catalog::supersedes(m_agreed.declared.catalog, installed.declared.catalog))
+        m_agreed.declared = std::move(installed.declared);
+    if (installed.cordons.revision > m_agreed.cordons.revision)
+        m_agreed.cordons = std::move(installed.cordons);
+    adopted(before);
     return true;
 }
 
@@ -518,7 +545,7 @@
     view.leads = m_replica->leadsNow();
     view.isNamedLeader = leader == m_core.self.groupId;
     view.reachesLeader = peer != m_controls.end() && peer->second.link != nullptr;
-    view.held = &m_declared;
+    view.held = &m_agreed;
     return view;
 }
 
@@ -552,7 +579,7 @@
     m_replica->tick();
     directory::tick(m_directory, now);
     tellDirectory();
-    tellCatalog();
+    tellAgreed();
     beatNodes(now);
     watchMembers(now);
     m_operators.tick(now);
@@ -566,7 +593,10 @@
     const auto gauge = [&](const char *name, const char *help, std::uint64_t value) {
         samples.push_back({ name, help, count(value), true });
     };
-    gauge("foxwing_catalog_version", "Catalog agreed on", m_declared.catalog.version);
+    gauge("foxwing_catalog_version", "Catalog agreed on", m_agreed.declared.catalog.version);
+    gauge("foxwing_cordons_revision", "Cordons agreed on", m_agreed.cordons.revision);
+    gauge("foxwing_cordoned_data_centres", "Data centres that get nothing new",
+          m_agreed.cordons.dataCentres.size());
     gauge("foxwing_group_term", "Term of the group", group.term);
     gauge("foxwing_group_commit", "Entries committed", group.commit);
     gauge("foxwing_group_voters", "Voters", group.members.voters.size());
--- a/packages/fleet/src/core.cpp
+++ b/packages/fleet/src/core.cpp
@@ -26,6 +26,14 @@
     return frame;
 }
 
+std::string joinedNames(const catalog::Cordons &cordons)
+{
+    std::string joined;
+    for (const std::string &name : cordons.dataCentres)
+        joined += (joined.empty() ? "" : " ") + name;
+    return joined;
+}
+
 // [SECTION] Listening
 
 std::unique_ptr<fabric::Listener> listenInside(Core &core, fabric::Listener::Accepted onAccepted,
@@ -147,8 +155,8 @@
     if (const auto *update = std::get_if<directory::DirectoryUpdate>(&*frame)) {
         takeLists(peer, *update);
         m_events.directory(from, *update);
-    } else if (const auto *push = std::get_if<CatalogPush>(&*frame)) {
-        m_events.catalog(push->catalog);
+    } else if (const auto *push = std::get_if<AgreedPush>(&*frame)) {
+        m_events.agreed(*push);
     }
 }
 
--- a/packages/fleet/src/core.h
+++ b/packages/fleet/src/core.h
@@ -82,7 +82,7 @@
 struct ControlEvents
 {
     std::function<void(const std::string &from, const directory::DirectoryUpdate &)> directory;
-    std::function<void(const catalog::Catalog &)> catalog;
+    std::function<void(const AgreedPush &)> agreed;
 };
 
 // An entry's or agent's connections to every control host it knows of: the seeds, and those that
@@ -113,6 +113,9 @@
 
 // [SECTION] Frames
 
+// The cordoned data centres in one text, for log lines
+std::string joinedNames(const catalog::Cordons &cordons);
+
 // Logs and answers nothing if the bytes are no frame.
 std::optional<Frame> readFrame(Core &core, const std::string &from, std::string_view bytes);
 
--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -82,6 +82,7 @@
     ControlEvents controlEvents();
     void takeDirectory(const std::string &from, const directory::DirectoryUpdate &update);
     void takeCatalog(const catalog::Catalog &catalog);
+    void takeCordons(const catalog::Cordons &cordons);
 
     void carryOut(scheduler::SchedulerActions &&actions);
     void answer(const scheduler::JobAnswer &answer);
@@ -92,6 +93,9 @@
     scheduler::SchedulerState m_scheduler;
     catalog::Catalog m_catalog;
     Time m_catalogAt {};
+
+    // Control has told the cordons, if only that there are none.
+    bool m_knowsCordons = false;
     std::map<std::string, AgentPeer> m_agents;
 
     // By control host
@@ -288,7 +292,10 @@
                     if (agent != m_agents.end() && agent->second.link.get() == link)
                         agentClosed(address);
                 });
-    link->send(encodeFrame(Frame(OpenSession { m_core.settings.name })));
+    OpenSession open { m_core.settings.name, {} };
+    if (m_knowsCordons)
+        open.cordons.push_back(m_scheduler.cordons);
+    link->send(encodeFrame(Frame(std::move(open))));
     carryOut(scheduler::agentConnected(m_scheduler, address, steadyNow()));
 }
 
@@ -329,7 +336,10 @@
     events.directory = [this](const std::string &from, const directory::DirectoryUpdate &update) {
         takeDirectory(from, update);
     };
-    events.catalog = [this](const catalog::Catalog &catalog) { takeCatalog(catalog); };
+    events.agreed = [this](const AgreedPush &push) {
+        takeCordons(push.cordons);
+        takeCatalog(push.catalog);
+    };
     return events;
 }
 
@@ -356,6 +366,19 @@
     forgetAgents(all);
 }
 
+void EntryShell::takeCordons(const catalog::Cordons &cordons)
+{
+    m_knowsCordons = true;
+    if (cordons.revision <= m_scheduler.cordons.revision)
+        return;
+    writeEvent(m_core.log,
+               change("cordons-in-force")
+                       .with("revision", cordons.revision)
+                       .with("before", m_scheduler.cordons.revision)
+                       .with("data_centres", joinedNames(cordons)));
+    carryOut(scheduler::takeCordons(m_scheduler, cordons, steadyNow()));
+}
+
 void EntryShell::takeCatalog(const catalog::Catalog &catalog)
 {
     if (!catalog::supersedes(m_catalog, catalog))
--- a/packages/fleet/src/messages.h
+++ b/packages/fleet/src/messages.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include <foxwing/base/binary.h>
-#include <foxwing/catalog/catalog.h>
+#include <foxwing/catalog/agreed.h>
 #include <foxwing/directory/directory.h>
 #include <foxwing/fleet/dialect.h>
 #include <foxwing/jobs/messages.h>
@@ -17,38 +17,33 @@
 
 // [SECTION] Control
 
-// A catalog that a quorum holds, to everybody who is connected.
-struct CatalogPush
+// What a quorum holds, to everybody who is connected. Agents need no queues: they are told of the
+// cordons alone, with an empty catalog, so that a change of queues is no message to each of them.
+struct AgreedPush
 {
     catalog::Catalog catalog;
+    catalog::Cordons cordons;
 };
 template<class Fields>
-void describe(Fields &fields, CatalogPush &push)
+void describe(Fields &fields, AgreedPush &push)
 {
     fields("catalog", push.catalog);
+    fields("cordons", push.cordons);
 }
 
 // A control host that does not lead hands an operator's call on to the one that does.
-struct ForwardDeclare
+struct ForwardCall
 {
     std::uint64_t call = 0;
-    catalog::DeclaredCatalog declared;
-};
-template<class Fields>
-void describe(Fields &fields, ForwardDeclare &forward)
-{
-    fields("call", forward.call);
-    fields("declared", forward.declared);
-}
 
-struct ForwardRead
-{
-    std::uint64_t call = 0;
+    // A frame of operators::OperatorRequest
+    std::string request;
 };
 template<class Fields>
-void describe(Fields &fields, ForwardRead &forward)
+void describe(Fields &fields, ForwardCall &forward)
 {
     fields("call", forward.call);
+    fields("request", forward.request);
 }
 
 struct ForwardAnswer
@@ -57,8 +52,8 @@
     OperatorOutcome outcome = OperatorOutcome::Unsure;
     std::string reason;
 
-    // Of a read
-    catalog::DeclaredCatalog declared;
+    // One, if a read was accepted
+    std::vector<catalog::DeclaredCatalog> declared;
 };
 template<class Fields>
 void describe(Fields &fields, ForwardAnswer &answer)
@@ -93,17 +88,22 @@
 struct OpenSession
 {
     std::string entry;
+
+    // One, if the entry knows the cordons: an agent that starts while control is away learns them
+    // from those who send it work.
+    std::vector<catalog::Cordons> cordons;
 };
 template<class Fields>
 void describe(Fields &fields, OpenSession &open)
 {
     fields("entry", open.entry);
+    fields("cordons", open.cordons);
 }
 
 // The order is the format: new ones go to the end.
-using Frame = std::variant<directory::Announce, directory::NodeBeat, directory::DirectoryUpdate,
-                           CatalogPush, ForwardDeclare, ForwardRead, ForwardAnswer, GroupFrame,
-                           OpenSession, jobs::Welcome, jobs::AgentUpdate, jobs::StartTasks,
-                           jobs::StopRuns, jobs::SessionBeat>;
+using Frame =
+        std::variant<directory::Announce, directory::NodeBeat, directory::DirectoryUpdate,
+                     AgreedPush, ForwardCall, ForwardAnswer, GroupFrame, OpenSession, jobs::Welcome,
+                     jobs::AgentUpdate, jobs::StartTasks, jobs::StopRuns, jobs::SessionBeat>;
 
 } // namespace foxwing::fleet
--- a/packages/fleet/src/node.cpp
+++ b/packages/fleet/src/node.cpp
@@ -100,6 +100,7 @@
         return;
     }
     core.settings.seeds = settings->seeds;
+    core.settings.dataCentres = settings->dataCentres;
     core.settings.stopGrace = settings->stopGrace;
     role->reloaded();
     writeEvent(core.log,
--- a/packages/fleet/src/operatorshell.cpp
+++ b/packages/fleet/src/operatorshell.cpp
@@ -7,6 +7,8 @@
 */
 #include "operatorshell.h"
 
+#include <algorithm>
+
 namespace foxwing::fleet {
 
 using eventlog::change;
@@ -23,49 +25,74 @@
 
 void OperatorShell::handle(const ExchangePtr &exchange)
 {
-    const OperatorWish wish = m_dialect.readOperatorCall(exchange->request());
-    if (wish == OperatorWish::Other)
-        return exchange->answer(
-                m_dialect.writeOperatorAnswer(OperatorOutcome::NotFound, "no such call"));
-    OperatorCall call;
-    call.isRead = wish == OperatorWish::Read;
-    if (!call.isRead) {
-        Error reason;
-        auto declared = m_dialect.readCatalog(exchange->request(), &reason);
-        if (!declared || !catalog::validate(declared->catalog, &reason)) {
-            ++m_invalid;
-            writeEvent(m_core.log, change("catalog-refused").with("reason", reason.message));
-            return exchange->answer(
-                    m_dialect.writeOperatorAnswer(OperatorOutcome::Invalid, reason.message));
-        }
-        call.declared = std::move(*declared);
+    // What a closed connection still brings was sent before the operator went to another host.
+    if (!exchange->callerIsThere())
+        return;
+    Error reason;
+    auto request = checkedRequest(exchange->request(), &reason);
+    if (!request) {
+        ++m_invalid;
+        writeEvent(m_core.log,
+                   change("operator-refused")
+                           .with("target", std::string(exchange->request().target()))
+                           .with("reason", reason.message));
+        const bool unknown = reason.kind == ErrorKind::NotFound;
+        return exchange->answer(m_dialect.writeOperatorAnswer(unknown ? OperatorOutcome::NotFound
+                                                                      : OperatorOutcome::Invalid,
+                                                              reason.message));
     }
-    add(std::move(call), { exchange, 0, 0 });
+    OperatorCall call;
+    call.request = std::move(*request);
+    const std::uint64_t number = add(std::move(call), { exchange, 0, 0 });
+    exchange->onGone([this, number] { operatorGone(number); });
 }
 
-void OperatorShell::handedOver(std::uint64_t connection, ForwardDeclare &&declare)
+std::optional<OperatorRequest> OperatorShell::checkedRequest(const fabric::Request &request,
+                                                             Error *reason)
 {
-    OperatorCall call;
-    call.declared = std::move(declare.declared);
-    call.fromPeer = true;
-    add(std::move(call), { nullptr, connection, declare.call });
+    auto read = m_dialect.readOperatorCall(request, reason);
+    if (!read)
+        return std::nullopt;
+    const auto *declared = std::get_if<catalog::DeclaredCatalog>(&*read);
+    if (declared && !catalog::validate(declared->catalog, reason))
+        return std::nullopt;
+    const auto *order = std::get_if<catalog::CordonOrder>(&*read);
+    const std::vector<std::string> &known = m_core.settings.dataCentres;
+    if (order && !known.empty()
+        && std::find(known.begin(), known.end(), order->dataCentre) == known.end())
+        return fail(reason, ErrorKind::NotFound,
+                    "no data centre has this name; use one of those in the settings");
+    return read;
 }
 
-void OperatorShell::handedOver(std::uint64_t connection, const ForwardRead &read)
+void OperatorShell::handedOver(std::uint64_t connection, const ForwardCall &forward)
 {
+    Error reason;
+    auto request = decodeFrame<OperatorRequest>(forward.request, &reason);
+    if (!request) {
+        writeEvent(m_core.log, change("frame-unreadable").with("reason", reason.message));
+        return;
+    }
     OperatorCall call;
-    call.isRead = true;
+    call.request = std::move(*request);
     call.fromPeer = true;
-    add(std::move(call), { nullptr, connection, read.call });
+    add(std::move(call), { nullptr, connection, forward.call });
 }
 
-void OperatorShell::add(OperatorCall call, Origin origin)
+std::uint64_t OperatorShell::add(OperatorCall call, Origin origin)
 {
     std::uint64_t number = 0;
     operators::OperatorActions actions = operators::addCall(m_operators, std::move(call),
                                                             m_links.group(), steadyNow(), &number);
     m_origins.emplace(number, std::move(origin));
     carryOut(std::move(actions));
+    return number;
+}
+
+void OperatorShell::operatorGone(std::uint64_t number)
+{
+    operators::dropCall(m_operators, number);
+    m_origins.erase(number);
 }
 
 void OperatorShell::peerAnswered(const ForwardAnswer &answer)
@@ -74,13 +101,14 @@
     given.number = answer.call;
     given.outcome = answer.outcome;
     given.reason = answer.reason;
-    given.declared = answer.declared;
+    if (!answer.declared.empty())
+        given.declared = answer.declared.front();
     carryOut(operators::peerAnswered(m_operators, given, m_links.group(), steadyNow()));
 }
 
-void OperatorShell::committed(std::uint64_t index, std::uint64_t term)
+void OperatorShell::committed(std::uint64_t index, std::uint64_t term, catalog::Applied applied)
 {
-    carryOut(operators::committed(m_operators, index, term, m_links.group(), steadyNow()));
+    carryOut(operators::committed(m_operators, index, term, applied, m_links.group(), steadyNow()));
 }
 
 void OperatorShell::readDone(std::uint64_t call, bool confirmed)
@@ -119,8 +147,11 @@
     const auto call = m_operators.calls.find(number);
     if (call == m_operators.calls.end())
         return;
+    const auto command = operators::commandOf(call->second.request);
+    if (!command)
+        return;
     // With a single voter this comes back only after the entry was committed.
-    const auto entry = m_links.propose(writeJson(toJson(call->second.declared)));
+    const auto entry = m_links.propose(writeJson(encodeMessage(*command)));
     if (entry)
         carryOut(operators::proposed(m_operators, number, entry->index, entry->term,
                                      m_links.group(), steadyNow()));
@@ -131,10 +162,7 @@
     const auto call = m_operators.calls.find(number);
     if (call == m_operators.calls.end())
         return;
-    if (call->second.isRead)
-        m_links.sendToLeader(Frame(ForwardRead { number }));
-    else
-        m_links.sendToLeader(Frame(ForwardDeclare { number, call->second.declared }));
+    m_links.sendToLeader(Frame(ForwardCall { number, encodeFrame(call->second.request) }));
 }
 
 void OperatorShell::answer(const operators::OperatorAnswer &answer)
@@ -144,13 +172,14 @@
         return;
     const Origin origin = found->second;
     m_origins.erase(found);
-    if (!origin.exchange)
-        return m_links.sendToNode(origin.connection,
-                                  Frame(ForwardAnswer { origin.peerCall, answer.outcome,
-                                                        answer.reason, answer.declared }));
-    const bool gives = answer.isRead && answer.outcome == OperatorOutcome::Accepted;
-    origin.exchange->answer(gives ? m_dialect.writeCatalog(answer.declared)
-                                  : m_dialect.writeOperatorAnswer(answer.outcome, answer.reason));
+    if (origin.exchange)
+        return origin.exchange->answer(
+                answer.declared ? m_dialect.writeCatalog(*answer.declared)
+                                : m_dialect.writeOperatorAnswer(answer.outcome, answer.reason));
+    ForwardAnswer forward { origin.peerCall, answer.outcome, answer.reason, {} };
+    if (answer.declared)
+        forward.declared.push_back(*answer.declared);
+    m_links.sendToNode(origin.connection, Frame(std::move(forward)));
 }
 
 // [SECTION] Metrics
@@ -161,7 +190,9 @@
     return {
         { "foxwing_operator_accepted_total", "Operators' calls accepted",
           count(m_operators.accepted) },
-        { "foxwing_operator_invalid_total", "Declarations refused as invalid", count(m_invalid) },
+        { "foxwing_operator_invalid_total", "Calls refused as invalid", count(m_invalid) },
+        { "foxwing_operator_outdated_total", "Orders given upon cordons that had changed",
+          count(m_operators.outdated) },
         { "foxwing_operator_unsure_total", "Calls without a sure answer",
           count(m_operators.unsure) },
     };
--- a/packages/fleet/src/operatorshell.h
+++ b/packages/fleet/src/operatorshell.h
@@ -37,11 +37,10 @@
 
     // A call from an operator, or handed over on a connection by another control host.
     void handle(const fabric::ExchangePtr &exchange);
-    void handedOver(std::uint64_t connection, ForwardDeclare &&declare);
-    void handedOver(std::uint64_t connection, const ForwardRead &read);
+    void handedOver(std::uint64_t connection, const ForwardCall &forward);
     void peerAnswered(const ForwardAnswer &answer);
 
-    void committed(std::uint64_t index, std::uint64_t term);
+    void committed(std::uint64_t index, std::uint64_t term, catalog::Applied applied);
     void readDone(std::uint64_t call, bool confirmed);
     void logReopened();
     void tick(Time now);
@@ -56,7 +55,9 @@
         std::uint64_t peerCall = 0;
     };
 
-    void add(operators::OperatorCall call, Origin origin);
+    std::optional<OperatorRequest> checkedRequest(const fabric::Request &request, Error *reason);
+    std::uint64_t add(operators::OperatorCall call, Origin origin);
+    void operatorGone(std::uint64_t number);
     void carryOut(operators::OperatorActions &&actions);
     void propose(std::uint64_t number);
     void handOver(std::uint64_t number);
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -51,6 +51,7 @@
 {
     table.whole("inner_port", settings.innerPort, 1, HighestPort);
     table.list("seeds", settings.seeds);
+    table.list("data_centres", settings.dataCentres);
     table.flag("first_start", settings.firstStart);
     table.whole("tolerated_losses", settings.toleratedLosses, 0, MostToleratedLosses);
     if (settings.innerPort == 0)
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -22,6 +22,7 @@
 [cluster]
 inner_port = 7720
 seeds = ["10.1.0.17:8166","10.2.0.34:8166"]
+data_centres = ["jaca","oviedo"]
 first_start = true
 tolerated_losses = 1
 
--- a/packages/jobs/include/foxwing/jobs/messages.h
+++ b/packages/jobs/include/foxwing/jobs/messages.h
@@ -125,6 +125,9 @@
 
     // The endpoint had no time left to begin it, or turned it down.
     Endpoint,
+
+    // The data centre is cordoned.
+    Cordoned,
 };
 
 const char *toString(RefusedStart why);
--- a/packages/jobs/src/messages.cpp
+++ b/packages/jobs/src/messages.cpp
@@ -41,6 +41,8 @@
         return "not-ready";
     case RefusedStart::OldRun:
         return "old-run";
+    case RefusedStart::Cordoned:
+        return "cordoned";
     case RefusedStart::Endpoint:
         break;
     }
--- a/packages/operators/include/foxwing/operators/operators.h
+++ b/packages/operators/include/foxwing/operators/operators.h
@@ -1,11 +1,17 @@
 /*
-    What a control host does with an operator's call: a catalog to be declared, or a read of the
-    newest one.
+    What a control host does with an operator's call: a catalog to be declared, an order to cordon
+    or uncordon a data centre, or a read of the newest catalog.
 
-    Any control host takes any call. The one that leads proposes catalogs to the agreement group and
+    Any control host takes any call. The one that leads proposes commands to the agreement group and
     has reads confirmed by a quorum; the others hand calls over to it. A call is answered as
     accepted only when that is certain, and as unsure once it has waited too long: operators then
-    ask another host, and sending the same catalog again is always safe.
+    ask another host, and sending the same again is always safe.
+
+    A catalog that comes late is known by its version. An order about a cordon has none, so it
+   stands only while its operator waits for the answer: the host that took the call gives the order
+   upon the cordons as they are, and if these have changed before it was agreed on, gives it anew.
+   What is left of an order whose operator has gone was given upon older cordons and changes
+   nothing.
 
         OperatorState operators;
         OperatorActions actions = addCall(operators, call, group, now, &number);
@@ -23,19 +29,32 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
-#include <foxwing/catalog/catalog.h>
+#include <foxwing/catalog/agreed.h>
 #include <foxwing/eventlog/eventlog.h>
 
 namespace foxwing::operators {
 
 // [SECTION] Calls
 
+// A read of the newest catalog, confirmed by a quorum.
+struct ReadCatalog
+{ };
+template<class Fields>
+void describe(Fields &, ReadCatalog &)
+{ }
+
+using OperatorRequest = std::variant<ReadCatalog, catalog::DeclaredCatalog, catalog::CordonOrder>;
+
+// For log lines
+const char *toString(const OperatorRequest &request);
+
 enum class OperatorOutcome {
     Accepted,
 
-    // The declaration is at fault and was not taken.
+    // The request is at fault and was not taken.
     Invalid,
 
     // Not known, or not known to be the newest; another control host may know.
@@ -45,9 +64,7 @@
 
 struct OperatorCall
 {
-    // A read of the newest catalog; otherwise declared is to be agreed on.
-    bool isRead = false;
-    catalog::DeclaredCatalog declared;
+    OperatorRequest request;
 
     // Another control host has handed it over: it is not handed on once more.
     bool fromPeer = false;
@@ -76,7 +93,7 @@
     bool reachesLeader = false;
 
     // What is agreed on as far as this host knows
-    const catalog::DeclaredCatalog *held = nullptr;
+    const catalog::AgreedState *held = nullptr;
 };
 
 // [SECTION] State
@@ -89,6 +106,12 @@
 
     // Between tries of a call that found no leader.
     Milliseconds retry { 60 };
+
+    // A host that stood still for longer finds calls whose operators have gone elsewhere a second
+    // after they sent them. It takes no order about cordons until it has gone through what came
+    // meanwhile. Well above a sync of a slow disk's thread, which holds up nothing here.
+    Milliseconds stoodStill { 400 };
+    Milliseconds catchingUp { 100 };
 };
 
 struct OperatorState
@@ -97,13 +120,19 @@
     std::uint64_t lastNumber = 0;
     std::map<std::uint64_t, OperatorCall> calls;
 
-    // The last entry of the log that was committed
+    // The last tick, and until when what arrives may have been sent long ago
+    Time tickedAt {};
+    Time catchesUpUntil {};
+
+    // The last entry of the log that was committed, and what became of it
     std::uint64_t committedIndex = 0;
     std::uint64_t committedTerm = 0;
+    catalog::Applied committedAs = catalog::Applied::Unchanged;
 
     // Counters for the metrics
     std::uint64_t accepted = 0;
     std::uint64_t unsure = 0;
+    std::uint64_t outdated = 0;
 };
 
 // [SECTION] Actions
@@ -111,12 +140,11 @@
 struct OperatorAnswer
 {
     std::uint64_t number = 0;
-    bool isRead = false;
     OperatorOutcome outcome = OperatorOutcome::Unsure;
     std::string reason;
 
     // Of a read that is accepted
-    catalog::DeclaredCatalog declared;
+    std::optional<catalog::DeclaredCatalog> declared;
 };
 
 struct OperatorActions
@@ -138,15 +166,21 @@
 OperatorActions addCall(OperatorState &operators, OperatorCall call, const GroupView &group,
                         Time now, std::uint64_t *number);
 
-// The log has taken the call's catalog; it counts once an entry with this index and term is
+// Nobody waits for the call's answer any more; what was proposed for it may still be agreed on.
+void dropCall(OperatorState &operators, std::uint64_t number);
+
+// The command to be proposed for a call; a read has none.
+std::optional<catalog::Command> commandOf(const OperatorRequest &request);
+
+// The log has taken the call's command; it counts once an entry with this index and term is
 // committed. That may have happened already.
 OperatorActions proposed(OperatorState &operators, std::uint64_t number, std::uint64_t index,
                          std::uint64_t term, const GroupView &group, Time now);
 
 // An entry is committed: calls that it was for are accepted, those whose place another leader's
-// entry took are tried again.
+// entry took are tried again, and so are orders that were outdated when they were applied.
 OperatorActions committed(OperatorState &operators, std::uint64_t index, std::uint64_t term,
-                          const GroupView &group, Time now);
+                          catalog::Applied applied, const GroupView &group, Time now);
 
 OperatorActions readDone(OperatorState &operators, std::uint64_t number, bool confirmed,
                          const GroupView &group, Time now);
--- a/packages/operators/src/operators.cpp
+++ b/packages/operators/src/operators.cpp
@@ -1,6 +1,7 @@
 /*
     Operators' calls, from their arrival to their answer.
 
+    [SECTION] Requests
     [SECTION] Answers
     [SECTION] Tries
     [SECTION] Events
@@ -9,10 +10,49 @@
 
 namespace foxwing::operators {
 
+using catalog::Applied;
+using catalog::CordonOrder;
+using catalog::DeclaredCatalog;
+
+// [SECTION] Requests
+
+const char *toString(const OperatorRequest &request)
+{
+    if (std::holds_alternative<ReadCatalog>(request))
+        return "read";
+    if (std::holds_alternative<DeclaredCatalog>(request))
+        return "declare";
+    return std::get<CordonOrder>(request).cordoned ? "cordon" : "uncordon";
+}
+
+std::optional<catalog::Command> commandOf(const OperatorRequest &request)
+{
+    if (const auto *declared = std::get_if<DeclaredCatalog>(&request))
+        return *declared;
+    if (const auto *order = std::get_if<CordonOrder>(&request))
+        return *order;
+    return std::nullopt;
+}
+
 // [SECTION] Answers
 
 namespace {
 
+// What the call was about, and what this host knew when it was answered.
+void describeCall(const OperatorCall &call, const GroupView &group, eventlog::Event &event)
+{
+    event.with("call", toString(call.request));
+    if (const auto *order = std::get_if<CordonOrder>(&call.request)) {
+        event.with("data_centre", order->dataCentre)
+                .with("based_on", order->basedOn)
+                .with("cordons", group.held->cordons.revision);
+        return;
+    }
+    if (const auto *declared = std::get_if<DeclaredCatalog>(&call.request))
+        event.with("version", declared->catalog.version);
+    event.with("held", group.held->declared.catalog.version);
+}
+
 void answer(OperatorState &operators, std::uint64_t number, OperatorAnswer given,
             const GroupView &group, Time now, OperatorActions &actions)
 {
@@ -21,16 +61,11 @@
         return;
     const OperatorCall &call = found->second;
     given.number = number;
-    given.isRead = call.isRead;
     ++(given.outcome == OperatorOutcome::Accepted ? operators.accepted : operators.unsure);
+    eventlog::Event event = eventlog::change("operator-answered");
+    describeCall(call, group, event);
     actions.events.push_back(
-            eventlog::change("operator-answered")
-                    .with("call", call.isRead ? "read" : "declare")
-                    .with("version",
-                          call.isRead ? given.declared.catalog.version
-                                      : call.declared.catalog.version)
-                    .with("held", group.held->catalog.version)
-                    .with("accepted", given.outcome == OperatorOutcome::Accepted ? 1 : 0)
+            event.with("accepted", given.outcome == OperatorOutcome::Accepted ? 1 : 0)
                     .with("reason", given.reason)
                     .with("took_ms", now - call.cameAt));
     operators.calls.erase(found);
@@ -70,6 +105,22 @@
     actions.handOvers.push_back(number);
 }
 
+// Whether the operator that gave an order still waits for its answer is known only at the host that
+// took the call, so only that host may give it anew.
+void renewOrder(OperatorCall &call, const GroupView &group)
+{
+    auto *order = std::get_if<CordonOrder>(&call.request);
+    if (order && !call.fromPeer)
+        order->basedOn = group.held->cordons.revision;
+}
+
+// A higher or equal version is agreed on, and stays so: sending this again changes nothing.
+bool changesNothing(const OperatorCall &call, const GroupView &group)
+{
+    const auto *declared = std::get_if<DeclaredCatalog>(&call.request);
+    return declared && !catalog::supersedes(group.held->declared.catalog, declared->catalog);
+}
+
 // May answer the call, and so remove it.
 void tryCall(OperatorState &operators, std::uint64_t number, const GroupView &group, Time now,
              OperatorActions &actions)
@@ -79,12 +130,12 @@
     const bool underWay = call.index != 0 || call.reading || call.handedOver;
     if (underWay)
         return;
-    // A higher or equal version is agreed on, and stays so: sending this again changes nothing.
-    if (!call.isRead && !catalog::supersedes(group.held->catalog, call.declared.catalog))
+    if (changesNothing(call, group))
         return answer(operators, number, accepted("nothing changed"), group, now, actions);
+    renewOrder(call, group);
     if (!group.leads)
         return handOver(operators, number, call, group, now, actions);
-    if (call.isRead) {
+    if (std::holds_alternative<ReadCatalog>(call.request)) {
         call.reading = true;
         actions.reads.push_back(number);
     } else {
@@ -92,6 +143,29 @@
     }
 }
 
+// This host has not turned for long, or has only just begun to again.
+bool mayBeOld(const OperatorState &operators, Time now)
+{
+    const bool stoodStill = operators.tickedAt != Time {}
+            && now >= operators.tickedAt + operators.settings.stoodStill;
+    return stoodStill || now < operators.catchesUpUntil;
+}
+
+// The call's entry is committed. An outdated order changed nothing: it is given anew here, or by
+// the host that handed it over.
+void concludeCall(OperatorState &operators, std::uint64_t number, Applied applied,
+                  const GroupView &group, Time now, OperatorActions &actions)
+{
+    if (applied != Applied::Outdated)
+        return answer(operators, number, accepted(""), group, now, actions);
+    ++operators.outdated;
+    OperatorCall &call = operators.calls.at(number);
+    call.index = 0;
+    if (call.fromPeer)
+        answer(operators, number, unsure("the cordons have changed meanwhile"), group, now,
+               actions);
+}
+
 } // namespace
 
 // [SECTION] Events
@@ -102,11 +176,21 @@
     OperatorActions actions;
     *number = ++operators.lastNumber;
     call.cameAt = now;
+    const bool old = std::holds_alternative<CordonOrder>(call.request) && mayBeOld(operators, now);
     operators.calls.emplace(*number, std::move(call));
-    tryCall(operators, *number, group, now, actions);
+    if (old)
+        answer(operators, *number, unsure("this host stood still; the order may be an old one"),
+               group, now, actions);
+    else
+        tryCall(operators, *number, group, now, actions);
     return actions;
 }
 
+void dropCall(OperatorState &operators, std::uint64_t number)
+{
+    operators.calls.erase(number);
+}
+
 OperatorActions proposed(OperatorState &operators, std::uint64_t number, std::uint64_t index,
                          std::uint64_t term, const GroupView &group, Time now)
 {
@@ -118,17 +202,18 @@
         found->second.index = index;
         found->second.term = term;
     } else if (index == operators.committedIndex && term == operators.committedTerm) {
-        answer(operators, number, accepted(""), group, now, actions);
+        concludeCall(operators, number, operators.committedAs, group, now, actions);
     }
     return actions;
 }
 
 OperatorActions committed(OperatorState &operators, std::uint64_t index, std::uint64_t term,
-                          const GroupView &group, Time now)
+                          Applied applied, const GroupView &group, Time now)
 {
     OperatorActions actions;
     operators.committedIndex = index;
     operators.committedTerm = term;
+    operators.committedAs = applied;
     std::vector<std::uint64_t> done;
     for (auto &[number, call] : operators.calls) {
         if (call.index == 0 || call.index > index)
@@ -140,7 +225,7 @@
             call.index = 0;
     }
     for (const std::uint64_t number : done)
-        answer(operators, number, accepted(""), group, now, actions);
+        concludeCall(operators, number, applied, group, now, actions);
     return actions;
 }
 
@@ -154,12 +239,12 @@
     found->second.reading = false;
     if (!confirmed)
         return actions;
-    if (group.held->catalog.version == 0) {
+    if (group.held->declared.catalog.version == 0) {
         answer(operators, number, unsure("no catalog was declared yet"), group, now, actions);
         return actions;
     }
     OperatorAnswer given = accepted("");
-    given.declared = *group.held;
+    given.declared = group.held->declared;
     answer(operators, number, std::move(given), group, now, actions);
     return actions;
 }
@@ -189,6 +274,9 @@
 OperatorActions tick(OperatorState &operators, const GroupView &group, Time now)
 {
     OperatorActions actions;
+    if (operators.tickedAt != Time {} && now >= operators.tickedAt + operators.settings.stoodStill)
+        operators.catchesUpUntil = now + operators.settings.catchingUp;
+    operators.tickedAt = now;
     std::vector<std::uint64_t> numbers;
     for (const auto &[number, call] : operators.calls)
         numbers.push_back(number);
--- a/packages/operators/tests/operators_test.cpp
+++ b/packages/operators/tests/operators_test.cpp
@@ -5,6 +5,7 @@
     [SECTION] Declarations
     [SECTION] Reads
     [SECTION] Hosts that do not lead
+    [SECTION] Cordons
 */
 #include <gtest/gtest.h>
 
@@ -30,26 +31,34 @@
 {
     explicit Host(Place place, std::uint64_t heldVersion = 5)
     {
-        held.catalog.version = heldVersion;
+        held.declared.catalog.version = heldVersion;
         view.held = &held;
         view.leads = place == Place::Leader;
         view.isNamedLeader = place == Place::Leader || place == Place::NamedLeader;
         view.reachesLeader = place == Place::Follower;
     }
 
-    OperatorActions declare(std::uint64_t version, bool fromPeer = false)
+    OperatorActions add(OperatorRequest request, bool fromPeer = false)
     {
         OperatorCall call;
-        call.declared.catalog.version = version;
+        call.request = std::move(request);
         call.fromPeer = fromPeer;
         return addCall(operators, call, view, now, &number);
     }
 
-    OperatorActions read()
+    OperatorActions declare(std::uint64_t version, bool fromPeer = false)
     {
-        OperatorCall call;
-        call.isRead = true;
-        return addCall(operators, call, view, now, &number);
+        catalog::DeclaredCatalog declared;
+        declared.catalog.version = version;
+        return add(declared, fromPeer);
+    }
+
+    OperatorActions read() { return add(ReadCatalog {}); }
+
+    // What was proposed for the last call
+    catalog::CordonOrder order() const
+    {
+        return std::get<catalog::CordonOrder>(operators.calls.at(number).request);
     }
 
     OperatorActions pass(Milliseconds span)
@@ -58,7 +67,7 @@
         return tick(operators, view, now);
     }
 
-    catalog::DeclaredCatalog held;
+    catalog::AgreedState held;
     GroupView view;
     OperatorState operators;
     Time now { Seconds(100) };
@@ -114,7 +123,7 @@
     host.declare(6);
     proposed(host.operators, host.number, 8, 3, host.view, host.now);
     const OperatorActions actions = committed(host.operators, GetParam().index, GetParam().term,
-                                              host.view, host.now);
+                                              catalog::Applied::Changed, host.view, host.now);
     EXPECT_EQ(actions.answers.size(), GetParam().accepted ? 1U : 0U);
     EXPECT_EQ(host.pass(host.operators.settings.retry).proposals.size(),
               GetParam().proposedAgain ? 1U : 0U);
@@ -133,7 +142,7 @@
 {
     Host host(Place::Leader);
     host.declare(6);
-    committed(host.operators, 8, 3, host.view, host.now);
+    committed(host.operators, 8, 3, catalog::Applied::Changed, host.view, host.now);
     const OperatorActions actions = proposed(host.operators, host.number, 8, 3, host.view,
                                              host.now);
     ASSERT_EQ(actions.answers.size(), 1U);
@@ -150,7 +159,8 @@
     const OperatorActions actions = host.pass(Milliseconds(1));
     ASSERT_EQ(actions.answers.size(), 1U);
     EXPECT_EQ(actions.answers.at(0).outcome, OperatorOutcome::Unsure);
-    EXPECT_TRUE(committed(host.operators, 8, 3, host.view, host.now).answers.empty());
+    EXPECT_TRUE(committed(host.operators, 8, 3, catalog::Applied::Changed, host.view, host.now)
+                        .answers.empty());
 }
 
 TEST(OperatorsCommit, IsAwaitedNoMoreOnceTheLogIsOpenedAnew)
@@ -167,7 +177,7 @@
 {
     Host host(Place::Leader);
     host.declare(6);
-    host.held.catalog.version = 7;
+    host.held.declared.catalog.version = 7;
     const OperatorActions actions = host.pass(host.operators.settings.retry);
     ASSERT_EQ(actions.answers.size(), 1U);
     EXPECT_EQ(actions.answers.at(0).outcome, OperatorOutcome::Accepted);
@@ -196,7 +206,11 @@
     if (!GetParam().outcome)
         return;
     EXPECT_EQ(actions.answers.at(0).outcome, *GetParam().outcome);
-    EXPECT_EQ(actions.answers.at(0).declared.catalog.version, GetParam().heldVersion);
+    ASSERT_EQ(actions.answers.at(0).declared.has_value(),
+              *GetParam().outcome == OperatorOutcome::Accepted);
+    if (actions.answers.at(0).declared) {
+        EXPECT_EQ(actions.answers.at(0).declared->catalog.version, GetParam().heldVersion);
+    }
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -258,12 +272,144 @@
     OperatorAnswer given;
     given.number = host.number;
     given.outcome = OperatorOutcome::Accepted;
-    given.declared.catalog.version = 9;
+    given.declared.emplace();
+    given.declared->catalog.version = 9;
     const OperatorActions actions = peerAnswered(host.operators, given, host.view, host.now);
     ASSERT_EQ(actions.answers.size(), 1U);
-    EXPECT_TRUE(actions.answers.at(0).isRead);
-    EXPECT_EQ(actions.answers.at(0).declared.catalog.version, 9U);
+    ASSERT_TRUE(actions.answers.at(0).declared);
+    EXPECT_EQ(actions.answers.at(0).declared->catalog.version, 9U);
+}
+
+// [SECTION] Cordons
+
+constexpr std::uint64_t HeldRevision = 4;
+
+struct CordonHost : Host
+{
+    explicit CordonHost(Place place)
+        : Host(place)
+    {
+        held.cordons.revision = HeldRevision;
+    }
+
+    OperatorActions cordon(bool fromPeer = false, std::uint64_t basedOn = 0)
+    {
+        return add(catalog::CordonOrder { "north", true, basedOn }, fromPeer);
+    }
+
+    // The last call's entry is committed after other cordons were.
+    OperatorActions commitOutdated()
+    {
+        proposed(operators, number, 8, 3, view, now);
+        held.cordons.revision = HeldRevision + 1;
+        return committed(operators, 8, 3, catalog::Applied::Outdated, view, now);
+    }
+};
+
+// What this host holds may be old: unlike a catalog's version, a cordon can be taken back, so it
+// says nothing about whether the order would change anything.
+TEST(OperatorsCordon, IsAgreedOnEvenIfItSeemsToBeSo)
+{
+    CordonHost host(Place::Leader);
+    host.held.cordons.dataCentres = { "north" };
+    const OperatorActions actions = host.cordon();
+    EXPECT_EQ(actions.proposals.size(), 1U);
+    EXPECT_TRUE(actions.answers.empty());
+}
+
+struct BasisCase
+{
+    const char *name;
+    Place place;
+    bool fromPeer;
+    std::uint64_t basedOn;
+};
+
+class Bases : public testing::TestWithParam<BasisCase>
+{ };
+
+// The host that took the call knows that the operator waits; a host that it was handed to does not.
+TEST_P(Bases, AreOfTheHostThatTookTheCall)
+{
+    CordonHost host(GetParam().place);
+    host.cordon(GetParam().fromPeer, 2);
+    EXPECT_EQ(host.order().basedOn, GetParam().basedOn);
+}
+
+INSTANTIATE_TEST_SUITE_P(Operators, Bases,
+                         testing::Values(BasisCase { "Leader", Place::Leader, false, HeldRevision },
+                                         BasisCase { "Follower", Place::Follower, false,
+                                                     HeldRevision },
+                                         BasisCase { "HandedOver", Place::Leader, true, 2 }),
+                         [](const auto &tested) { return tested.param.name; });
+
+TEST(OperatorsCordon, ThatIsOutdatedIsGivenAnewWhileItsOperatorWaits)
+{
+    CordonHost host(Place::Leader);
+    host.cordon();
+    EXPECT_TRUE(host.commitOutdated().answers.empty());
+    EXPECT_EQ(host.pass(host.operators.settings.retry).proposals.size(), 1U);
+    EXPECT_EQ(host.order().basedOn, HeldRevision + 1);
+    EXPECT_EQ(host.operators.outdated, 1U);
+}
+
+TEST(OperatorsCordon, ThatIsOutdatedGoesBackToTheHostThatTookTheCall)
+{
+    CordonHost host(Place::Leader);
+    host.cordon(true, HeldRevision);
+    const OperatorActions actions = host.commitOutdated();
+    ASSERT_EQ(actions.answers.size(), 1U);
+    EXPECT_EQ(actions.answers.at(0).outcome, OperatorOutcome::Unsure);
+}
+
+TEST(OperatorsCordon, OfAnOperatorThatHasGoneIsNotGivenAnew)
+{
+    CordonHost host(Place::Leader);
+    host.cordon();
+    dropCall(host.operators, host.number);
+    EXPECT_TRUE(host.commitOutdated().answers.empty());
+    EXPECT_TRUE(host.pass(host.operators.settings.retry).proposals.empty());
+}
+
+struct PauseCase
+{
+    const char *name;
+    Milliseconds pause;
+
+    // Whether a tick came between the pause and the call
+    bool ticked;
+    bool taken;
+};
+
+class Pauses : public testing::TestWithParam<PauseCase>
+{ };
+
+// What a host reads after it stood still was sent long ago; its operator has gone elsewhere, and
+// may have ordered the opposite there since.
+TEST_P(Pauses, MakeOrdersDoubtful)
+{
+    CordonHost host(Place::Leader);
+    host.pass(Milliseconds(20));
+    host.now += GetParam().pause;
+    if (GetParam().ticked)
+        host.pass(Milliseconds(0));
+    const OperatorActions actions = host.cordon();
+    EXPECT_EQ(actions.proposals.size(), GetParam().taken ? 1U : 0U);
+    ASSERT_EQ(actions.answers.size(), GetParam().taken ? 0U : 1U);
+    if (!GetParam().taken) {
+        EXPECT_EQ(actions.answers.at(0).outcome, OperatorOutcome::Unsure);
+    }
+    host.pass(Milliseconds(20));
+    host.pass(host.operators.settings.catchingUp);
+    EXPECT_EQ(host.cordon().proposals.size(), 1U);
 }
 
+INSTANTIATE_TEST_SUITE_P(Operators, Pauses,
+                         testing::Values(PauseCase { "BusyTurn", Milliseconds(150), false, true },
+                                         PauseCase { "Frozen", Milliseconds(1500), false, false },
+                                         PauseCase { "FrozenAndTurned", Milliseconds(1500), true,
+                                                     false }),
+                         [](const auto &tested) { return tested.param.name; });
+
 } // namespace
 } // namespace foxwing::operators
--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -10,6 +10,9 @@
     it was answered and a later look does not show it, the endpoint has another life, or the lease
    is over on the slowest clock.
 
+    While its data centre is cordoned the endpoint gets nothing new, and neither before the agent
+    knows the cordons: an entry may not know yet.
+
         RunnerState runner = makeRunner(settings, fence);
         RunnerActions actions = endpointHeard(runner, report, now);
         ... carry out actions ...
@@ -30,6 +33,7 @@
 #include <string>
 #include <vector>
 
+#include <foxwing/catalog/agreed.h>
 #include <foxwing/eventlog/eventlog.h>
 #include <foxwing/jobs/messages.h>
 
@@ -110,6 +114,11 @@
     // room, in percent.
     std::int64_t waitingPercent = 15;
 
+    // An agent that has just started waits for so long for control to tell it the cordons; then it
+    // takes what an entry knows, since control may be down while the rest goes on. Links to control
+    // stand within 0.1 s of a start where control is there.
+    Milliseconds cordonWait { 1000 };
+
     // Lives of the endpoint that are remembered as gone. More than crash within the time that a
     // heartbeat can be held up on its way.
     std::size_t mostFormerLives = 16;
@@ -308,6 +317,14 @@
     std::vector<jobs::LagReport> lagging;
 };
 
+// Who tells an agent of the cordons.
+enum class CordonSource {
+    Control,
+
+    // Only as new as what it heard from control last
+    Entry,
+};
+
 struct RunnerState
 {
     RunnerSettings settings;
@@ -325,6 +342,12 @@
     std::uint64_t viewNumber = 1;
     bool stopping = false;
 
+    // Cordons, the newest that were heard; nothing starts before they are known.
+    catalog::Cordons cordons;
+    bool cordonsKnown = false;
+    bool heardFromEntry = false;
+    Time firstTick {};
+
     // Nothing runs that this agent did not start: earlier lives' runs are stopped first.
     bool clean = false;
     std::set<jobs::RunId> orphans;
@@ -390,6 +413,13 @@
 RunnerActions endpointHeard(RunnerState &runner, const EndpointReport &report, Time now);
 RunnerActions endpointLeft(RunnerState &runner, const std::string &life, Time now);
 
+// What is cordoned. Older news than what is known here changes nothing.
+RunnerActions cordonsHeard(RunnerState &runner, const catalog::Cordons &cordons,
+                           CordonSource source, Time now);
+
+// Whether the endpoint's data centre is cordoned.
+bool isCordoned(const RunnerState &runner);
+
 // An entry's session. Numbers are never used twice.
 RunnerActions openSession(RunnerState &runner, std::uint64_t session, const std::string &owner,
                           Time now);
--- a/packages/runner/src/offer.cpp
+++ b/packages/runner/src/offer.cpp
@@ -25,11 +25,17 @@
 bool mayStart(const RunnerState &runner)
 {
     return !runner.endpoint.life.empty() && !runner.endpoint.leaving && !runner.stopping
-            && runner.clean && runner.clockSample && !isOutOfReach(runner);
+            && runner.clean && runner.clockSample && !isOutOfReach(runner) && runner.cordonsKnown
+            && !isCordoned(runner);
 }
 
 } // namespace
 
+bool isCordoned(const RunnerState &runner)
+{
+    return catalog::isCordoned(runner.cordons, runner.endpoint.dataCentre);
+}
+
 jobs::Room freeRoom(const RunnerState &runner)
 {
     if (!mayStart(runner))
--- a/packages/runner/src/runner.cpp
+++ b/packages/runner/src/runner.cpp
@@ -5,6 +5,7 @@
     [SECTION] Names
     [SECTION] Runs
     [SECTION] Endpoint
+    [SECTION] Cordons
     [SECTION] Time
 */
 #include <foxwing/runner/runner.h>
@@ -246,10 +247,46 @@
     return actions;
 }
 
+// [SECTION] Cordons
+
+RunnerActions cordonsHeard(RunnerState &runner, const catalog::Cordons &cordons,
+                           CordonSource source, Time now)
+{
+    RunnerActions actions;
+    const bool wasCordoned = isCordoned(runner);
+    if (cordons.revision > runner.cordons.revision)
+        runner.cordons = cordons;
+    runner.heardFromEntry |= source == CordonSource::Entry;
+    runner.cordonsKnown |= source == CordonSource::Control;
+    if (isCordoned(runner) != wasCordoned)
+        actions.events.push_back(
+                change(isCordoned(runner) ? "endpoint-cordoned" : "endpoint-uncordoned")
+                        .with("data_centre", runner.endpoint.dataCentre)
+                        .with("revision", runner.cordons.revision)
+                        .with("runs", std::uint64_t { runner.runs.size() })
+                        .with("waiting", std::uint64_t { runner.waiting.size() }));
+    finishEvent(runner, now, actions);
+    return actions;
+}
+
 // [SECTION] Time
 
 namespace {
 
+// Without a word from control, what an entry knows counts after a while.
+void takeEntrysWord(RunnerState &runner, Time now, RunnerActions &actions)
+{
+    if (runner.firstTick == Time {})
+        runner.firstTick = now;
+    if (runner.cordonsKnown || !runner.heardFromEntry
+        || now < runner.firstTick + runner.settings.cordonWait)
+        return;
+    runner.cordonsKnown = true;
+    actions.events.push_back(change("cordons-from-entry")
+                                     .with("revision", runner.cordons.revision)
+                                     .with("cordoned", isCordoned(runner) ? 1 : 0));
+}
+
 // Endpoint clocks run up to 2 percent slow: so much of the time that passed here certainly passed
 // there.
 constexpr int SlowestClockPercent = 98;
@@ -287,6 +324,7 @@
 RunnerActions tick(RunnerState &runner, Time now)
 {
     RunnerActions actions;
+    takeEntrysWord(runner, now, actions);
     endSilentSessions(runner, now, actions);
     repeatStops(runner, now, actions);
     if (!runner.runs.empty() && runner.looksFailed > 0 && leaseIsOver(runner, now))
--- a/packages/runner/src/sessions.cpp
+++ b/packages/runner/src/sessions.cpp
@@ -62,6 +62,8 @@
 {
     if (runner.endpoint.leaving || runner.stopping)
         return RefusedStart::Leaving;
+    if (isCordoned(runner))
+        return RefusedStart::Cordoned;
     if (mostStarts(runner, now) == 0)
         return RefusedStart::NotReady;
     const bool sameTask = std::any_of(runner.runs.begin(), runner.runs.end(),
--- a/packages/runner/src/waiting.cpp
+++ b/packages/runner/src/waiting.cpp
@@ -53,6 +53,7 @@
 {
     const bool mayStart = mostStarts(runner, now) > 0;
     const RefusedStart never = runner.endpoint.leaving || runner.stopping ? RefusedStart::Leaving
+            : isCordoned(runner)                                          ? RefusedStart::Cordoned
                                                                           : RefusedStart::NotReady;
     std::vector<WaitingStart> rest;
     rest.swap(runner.waiting);
--- a/packages/runner/tests/runner_test.cpp
+++ b/packages/runner/tests/runner_test.cpp
@@ -4,6 +4,7 @@
     [SECTION] Helpers
     [SECTION] Starts
     [SECTION] Waiting starts
+    [SECTION] Cordons
     [SECTION] Unanswered orders
     [SECTION] Lives and leases
     [SECTION] Sessions
@@ -44,6 +45,7 @@
 {
     Bench()
     {
+        cordonsHeard(runner, {}, CordonSource::Control, now);
         endpointHeard(runner, makeReport("life-1", 1), now);
         answerLook({});
         openSession(runner, Entry, "entry-1", now);
@@ -403,6 +405,104 @@
     EXPECT_TRUE(bench.runner.waiting.empty());
 }
 
+// [SECTION] Cordons
+
+struct CordonCase
+{
+    const char *name;
+
+    // What the agent hears, one after the other
+    std::vector<std::pair<catalog::Cordons, CordonSource>> heard;
+
+    // How long it has been there
+    Milliseconds after;
+    bool takesStarts;
+};
+
+class Cordoned : public testing::TestWithParam<CordonCase>
+{ };
+
+// The endpoint stands in "north".
+TEST_P(Cordoned, EndpointsGetNothingNew)
+{
+    RunnerState runner = makeRunner(RunnerSettings(), 1, 100);
+    Time now { Seconds(100) };
+    tick(runner, now);
+    EndpointReport report = makeReport("life-1", 1);
+    report.dataCentre = "north";
+    endpointHeard(runner, report, now);
+    lookAnswered(runner, runner.lookNumber, { { Answer::Ok, Milliseconds(50000) }, {}, {} }, now);
+    for (const auto &[cordons, source] : GetParam().heard)
+        cordonsHeard(runner, cordons, source, now);
+    now += GetParam().after;
+    openSession(runner, Entry, "entry-1", now);
+    tick(runner, now);
+    EXPECT_EQ(viewOf(runner, now).mostStarts > 0, GetParam().takesStarts);
+    EXPECT_EQ(viewOf(runner, now).free.milliCores > 0, GetParam().takesStarts);
+    jobs::StartTasks message;
+    message.job = "job";
+    message.room = { 1000, 10, 0 };
+    message.estimate = Milliseconds(100);
+    message.starts = { { 0, 1 } };
+    EXPECT_EQ(startTasks(runner, Entry, message, now).starts.size(),
+              GetParam().takesStarts ? 1U : 0U);
+}
+
+const catalog::Cordons NoCordons {};
+const catalog::Cordons NorthCordoned { 3, { "east", "north" } };
+const catalog::Cordons NorthTakenBack { 4, { "east" } };
+
+INSTANTIATE_TEST_SUITE_P(
+        Runner, Cordoned,
+        testing::Values(
+                CordonCase { "Free", { { NoCordons, CordonSource::Control } }, {}, true },
+                CordonCase { "Cordoned", { { NorthCordoned, CordonSource::Control } }, {}, false },
+                CordonCase { "TakenBack",
+                             { { NorthCordoned, CordonSource::Control },
+                               { NorthTakenBack, CordonSource::Control } },
+                             {},
+                             true },
+                CordonCase { "OlderNewsLate",
+                             { { NorthTakenBack, CordonSource::Control },
+                               { NorthCordoned, CordonSource::Control } },
+                             {},
+                             true },
+                CordonCase { "EntryKnowsMore",
+                             { { NoCordons, CordonSource::Control },
+                               { NorthCordoned, CordonSource::Entry } },
+                             {},
+                             false },
+                CordonCase { "NothingHeard", {}, Milliseconds(5000), false },
+                CordonCase { "OnlyAnEntryHeardYet",
+                             { { NoCordons, CordonSource::Entry } },
+                             Milliseconds(500),
+                             false },
+                CordonCase { "ControlAway",
+                             { { NoCordons, CordonSource::Entry } },
+                             Milliseconds(1000),
+                             true },
+                CordonCase { "CordonedAndControlAway",
+                             { { NorthCordoned, CordonSource::Entry } },
+                             Milliseconds(1000),
+                             false }),
+        [](const auto &tested) { return tested.param.name; });
+
+TEST(RunnerCordon, StartsThatWaitAreGivenBackAndRunsGoOn)
+{
+    Bench bench;
+    bench.runner.endpoint.dataCentre = "north";
+    bench.start(1, 4000);
+    bench.startOrWait(11, 600);
+    const RunnerActions actions = cordonsHeard(bench.runner, NorthCordoned, CordonSource::Control,
+                                               bench.now);
+    const std::vector<jobs::RunReport> ends = endsIn(actions);
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].id, runId(11));
+    EXPECT_EQ(ends[0].refused, RefusedStart::Cordoned);
+    EXPECT_TRUE(actions.stops.empty());
+    EXPECT_EQ(bench.runner.runs.count(runId(1)), 1U);
+}
+
 // [SECTION] Unanswered orders
 
 TEST(RunnerUnanswered, AStartIsOrderedAgainUnderTheSameNumber)
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -30,6 +30,7 @@
 #include <string>
 #include <vector>
 
+#include <foxwing/catalog/agreed.h>
 #include <foxwing/eventlog/eventlog.h>
 #include <foxwing/jobs/messages.h>
 #include <foxwing/scheduler/runtimes.h>
@@ -351,6 +352,9 @@
     Time wantsRoomUntil {};
     std::map<std::string, Agent> agents;
 
+    // Data centres whose endpoints get nothing new
+    catalog::Cordons cordons;
+
     // By queue
     std::map<std::string, RunTimes> runTimes;
 
@@ -437,6 +441,9 @@
 // priorities are in use.
 void keepQueues(SchedulerState &scheduler, const std::set<std::string> &declared);
 
+// Other data centres are cordoned: nothing more goes there, and what waits looks for room anew.
+SchedulerActions takeCordons(SchedulerState &scheduler, const catalog::Cordons &cordons, Time now);
+
 // Whether some endpoint of some service could take work.
 bool reachesEndpoints(const SchedulerState &scheduler);
 
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -100,7 +100,7 @@
     double room = 0;
     for (const auto &[name, agent] : scheduler.agents) {
         if (agent.welcomed && agent.endpoint.service == wanted.terms.service
-            && agent.endpoint.mostStarts > 0)
+            && agent.endpoint.mostStarts > 0 && !isCordoned(scheduler, agent))
             room += static_cast<double>(agent.endpoint.capacity.milliCores);
     }
     if (room <= 0)
--- a/packages/scheduler/src/ending.cpp
+++ b/packages/scheduler/src/ending.cpp
@@ -90,7 +90,7 @@
     Time oldest = now;
     for (const auto &[name, agent] : scheduler.agents) {
         if (!agent.welcomed || agent.endpoint.leaving || agent.endpoint.mostStarts == 0
-            || agent.endpoint.service != job.terms.service)
+            || agent.endpoint.service != job.terms.service || isCordoned(scheduler, agent))
             continue;
         const jobs::Room room = roomAt(agent);
         ++endpoints;
@@ -233,6 +233,13 @@
     freed.at = now;
 }
 
+void scaleFreed(SchedulerState &scheduler, const std::string &service, double part)
+{
+    const auto freed = scheduler.freed.find(service);
+    if (freed != scheduler.freed.end())
+        freed->second.milliCores *= part;
+}
+
 double freedPerMillisecond(const SchedulerState &scheduler, const FreedRoom &freed, Time now)
 {
     return faded(scheduler, freed, now) / static_cast<double>(scheduler.settings.freedSpan.count());
@@ -298,7 +305,10 @@
         ++scheduler.counters.startsRefused;
     else
         job->mayHaveBegun = true;
-    if (report.end != RunEnd::NeverBegan)
+    // Room that came free in a cordoned data centre is no room for what waits.
+    const auto from = scheduler.agents.find(agent);
+    const bool usable = from != scheduler.agents.end() && !isCordoned(scheduler, from->second);
+    if (report.end != RunEnd::NeverBegan && usable)
         noteFreed(scheduler, job->terms.service, job->spec.steps[task->step].room, now);
     if (report.end == RunEnd::Done && !job->over) {
         taskDone(scheduler, *job, *task, report.took, now, actions);
--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -34,6 +34,9 @@
 // Nothing of the job has begun; a start that is under way may begin.
 bool certainlyNotBegun(const Job &job);
 
+// Whether the endpoint's data centre is cordoned, as far as this entry knows.
+bool isCordoned(const SchedulerState &scheduler, const Agent &agent);
+
 // Room that this entry may count on at an agent.
 jobs::Room roomAt(const Agent &agent);
 
@@ -49,6 +52,9 @@
 void noteFreed(SchedulerState &scheduler, const std::string &service, const jobs::Room &room,
                Time now);
 
+// Of the room that came free of late, only this part goes on coming free.
+void scaleFreed(SchedulerState &scheduler, const std::string &service, double part);
+
 // Thousandths of a core that came free in a millisecond, of late.
 double freedPerMillisecond(const SchedulerState &scheduler, const FreedRoom &freed, Time now);
 
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -21,6 +21,11 @@
     return room;
 }
 
+bool isCordoned(const SchedulerState &scheduler, const Agent &agent)
+{
+    return catalog::isCordoned(scheduler.cordons, agent.endpoint.dataCentre);
+}
+
 namespace {
 
 bool hasLabel(const Agent &agent, const std::string &label)
@@ -88,16 +93,17 @@
             + ChanceWeight * chance(scheduler.random);
 }
 
-bool mayTake(const Agent &agent)
+bool mayTake(const SchedulerState &scheduler, const Agent &agent)
 {
     return agent.welcomed && !agent.endpoint.leaving
-            && agent.pending.size() < agent.endpoint.mostStarts;
+            && agent.pending.size() < agent.endpoint.mostStarts && !isCordoned(scheduler, agent);
 }
 
-bool mayTakeTask(const Agent &agent, const Job &job, const Task &task, const std::string &id)
+bool mayTakeTask(const SchedulerState &scheduler, const Agent &agent, const Job &job,
+                 const Task &task, const std::string &id)
 {
     const jobs::StepSpec &step = job.spec.steps[task.step];
-    return mayTake(agent) && suits(agent, job, step)
+    return mayTake(scheduler, agent) && suits(agent, job, step)
             && belowStepLimit(job, task.step, step.mostPerEndpoint, id);
 }
 
@@ -124,7 +130,7 @@
     for (auto &[id, agent] : agents) {
         const std::int64_t lacks = step.room.milliCores - roomAt(agent).milliCores;
         const std::int64_t capacity = agent.endpoint.capacity.milliCores;
-        if (!mayTakeTask(agent, job, task, id) || isAvoided(task, id)
+        if (!mayTakeTask(scheduler, agent, job, task, id) || isAvoided(task, id)
             || isQuiet(scheduler, agent, now) || lacks * 100 > capacity * most)
             continue;
         const double cost = static_cast<double>(agent.endpoint.paceMille) / 1000
@@ -149,7 +155,7 @@
     for (auto &[id, agent] : agents) {
         ++scheduler.counters.endpointsTried;
         const jobs::Room free = roomAt(agent);
-        if (!jobs::fits(step.room, free) || !mayTakeTask(agent, job, task, id))
+        if (!jobs::fits(step.room, free) || !mayTakeTask(scheduler, agent, job, task, id))
             continue;
         const bool avoided = isAvoided(task, id) || isQuiet(scheduler, agent, now);
         const double cost = costOf(scheduler, agent, free, step);
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -4,6 +4,7 @@
 
     [SECTION] Names
     [SECTION] Agents
+    [SECTION] Cordons
     [SECTION] Time
 */
 #include <foxwing/scheduler/scheduler.h>
@@ -219,6 +220,41 @@
     return actions;
 }
 
+// [SECTION] Cordons
+
+namespace {
+
+// Room of the endpoints that may take work, by service.
+std::map<std::string, double> usableRoom(const SchedulerState &scheduler)
+{
+    std::map<std::string, double> room;
+    for (const auto &[name, agent] : scheduler.agents) {
+        if (agent.welcomed && !isCordoned(scheduler, agent))
+            room[agent.endpoint.service] += static_cast<double>(agent.endpoint.capacity.milliCores);
+    }
+    return room;
+}
+
+} // namespace
+
+SchedulerActions takeCordons(SchedulerState &scheduler, const catalog::Cordons &cordons, Time now)
+{
+    SchedulerActions actions;
+    if (cordons.revision <= scheduler.cordons.revision)
+        return actions;
+    const std::map<std::string, double> before = usableRoom(scheduler);
+    scheduler.cordons = cordons;
+    std::map<std::string, double> after = usableRoom(scheduler);
+    // Jobs that can't be served by what is left are refused at once, and not after the pace at
+    // which room comes free has been learned anew.
+    for (const auto &[service, room] : before) {
+        if (after[service] < room)
+            scaleFreed(scheduler, service, after[service] / room);
+    }
+    place(scheduler, now, actions);
+    return actions;
+}
+
 // [SECTION] Time
 
 namespace {
--- a/packages/scheduler/tests/placing_test.cpp
+++ b/packages/scheduler/tests/placing_test.cpp
@@ -75,6 +75,64 @@
                 SuitCase { "Full", [](jobs::EndpointView &v) { v.free.milliCores = 999; }, false }),
         [](const auto &tested) { return tested.param.name; });
 
+// Two endpoints in "north" and one in "south", each with room for four tasks.
+struct CordonedBench : Bench
+{
+    CordonedBench()
+        : Bench({})
+    {
+        jobs::EndpointView view = makeView(4000);
+        view.dataCentre = "north";
+        welcome("agent-0", view);
+        welcome("agent-1", view);
+        view.dataCentre = "south";
+        welcome("agent-2", view);
+    }
+
+    SchedulerActions cordon(std::uint64_t revision, const std::vector<std::string> &dataCentres)
+    {
+        return takeCordons(scheduler, { revision, dataCentres }, now);
+    }
+};
+
+TEST(SchedulerCordon, SendsNothingThereAndGoesOnElsewhere)
+{
+    CordonedBench bench;
+    bench.cordon(1, { "north" });
+    const SchedulerActions actions = bench.submit("job", 6);
+    EXPECT_EQ(startsIn(actions), 4U);
+    for (const AgentSend &send : actions.sends) {
+        if (std::holds_alternative<jobs::StartTasks>(send.message)) {
+            EXPECT_EQ(send.agent, "agent-2");
+        }
+    }
+}
+
+TEST(SchedulerCordon, TakenBackLetsWaitingWorkStartAtOnce)
+{
+    CordonedBench bench;
+    bench.cordon(1, { "north" });
+    bench.submit("job", 6);
+    EXPECT_EQ(startsIn(bench.cordon(2, {})), 2U);
+    // Older news that comes late
+    bench.cordon(1, { "north" });
+    EXPECT_TRUE(bench.scheduler.cordons.dataCentres.empty());
+}
+
+// A third of the room stays: what came free in the other two is nothing that work can wait for.
+TEST(SchedulerCordon, CountsOnlyRoomThatStays)
+{
+    CordonedBench bench;
+    bench.submit("job", 12);
+    for (std::uint32_t index = 0; index < 12; ++index) {
+        const std::string agent = bench.scheduler.jobs.begin()->second.tasks[index].agent;
+        bench.report(agent, { endOf("job", index, 1, RunEnd::Done) });
+    }
+    const double before = bench.scheduler.freed.begin()->second.milliCores;
+    bench.cordon(1, { "north" });
+    EXPECT_NEAR(bench.scheduler.freed.begin()->second.milliCores, before / 3, 1);
+}
+
 TEST(SchedulerPlacing, KeepsTheLimitOfTasksOnOneEndpoint)
 {
     Bench bench({ 8000, 8000 });
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -149,7 +149,21 @@
                 FaultCase { "CancelAndEndpointReborn",
                             { Fault::CallerCancels, Fault::EndpointCrash },
                             90 },
-                FaultCase { "CancelAndAll", allFaultsAndCancels(), 83 }),
+                FaultCase { "CancelAndAll", allFaultsAndCancels(), 83 },
+                FaultCase { "Cordon", { Fault::Cordon }, 77 },
+                FaultCase { "CordonAndAgentKill", { Fault::Cordon, Fault::AgentKill }, 78 },
+                FaultCase { "CordonAndEntryKill", { Fault::Cordon, Fault::EntryKill }, 84 },
+                FaultCase { "CordonAndCut", { Fault::Cordon, Fault::Cut }, 79 },
+                FaultCase { "CordonAndFreezes",
+                            { Fault::Cordon, Fault::AgentFreeze, Fault::EntryFreeze },
+                            79 },
+                FaultCase { "CordonAndEndpointReborn",
+                            { Fault::Cordon, Fault::EndpointCrash, Fault::LateOrders },
+                            86 },
+                FaultCase {
+                        "CordonAndControlAway",
+                        { Fault::Cordon, Fault::ControlAway, Fault::AgentKill, Fault::EntryKill },
+                        85 }),
         [](const auto &tested) { return tested.param.name; });
 
 // [SECTION] Guards
@@ -196,6 +210,10 @@
                 GuardCase { "CertainSilence",
                             [](WorldSettings &s) { s.scheduler.certainSilence = Milliseconds(50); },
                             { Fault::Cut } },
+                // An agent that starts before it knows the cordons, or does not look at them.
+                GuardCase { "Cordons",
+                            [](WorldSettings &s) { s.agentsIgnoreCordons = true; },
+                            { Fault::Cordon, Fault::EntryFreeze } },
                 // A long lease outlives the agent that was killed.
                 GuardCase { "Lease",
                             [](WorldSettings &s) { s.runner.leaseSpan = Milliseconds(5000); },
--- a/tests/fleet/replay_test.cpp
+++ b/tests/fleet/replay_test.cpp
@@ -58,6 +58,7 @@
         m_catalog.version = 1;
         m_catalog.queues = { queue };
         carryOut(scheduler::agentConnected(m_entry, TheAgent, m_now));
+        carryOut(runner::cordonsHeard(m_agent, {}, runner::CordonSource::Control, m_now));
         carryOut(runner::openSession(m_agent, TheSession, "entry-1", m_now));
     }
 
--- a/tests/fleet/world.cpp
+++ b/tests/fleet/world.cpp
@@ -6,6 +6,7 @@
     [SECTION] Callers
     [SECTION] Entries
     [SECTION] Agents
+    [SECTION] Control
     [SECTION] Faults
     [SECTION] Promises
 */
@@ -30,6 +31,12 @@
 // ends after 400 ms and 2 percent, and a stop takes 50 ms; less than after which a caller that lost
 // its entry sends the job again.
 constexpr Milliseconds UnwantedRunBound { 1300 };
+
+// From a change of the cordons until all who are in touch with control know it: the longest way of
+// the news, and a lease of the endpoint for starts that were ordered before.
+constexpr Milliseconds LongestNews { 50 };
+constexpr Milliseconds CordonBound { 500 };
+constexpr int DataCentres = 2;
 const jobs::Room Capacity { 16000, 65536, 0 };
 
 // Work after the last job came, so that every answer is out.
@@ -61,6 +68,7 @@
 {
     scheduler::SchedulerState state;
     Time lastTurn {};
+    bool knowsCordons = false;
 
     // To each agent
     std::vector<Session> sessions;
@@ -263,6 +271,8 @@
         entry.state = scheduler::makeScheduler(settings);
         entry.state.entries = static_cast<std::uint32_t>(m_settings.entries);
         entry.calls.clear();
+        entry.knowsCordons = false;
+        tellEntry(number);
         for (Session &session : entry.sessions)
             session.open = false;
         tickEntry(number);
@@ -301,8 +311,15 @@
     session.open = true;
     session.number = ++m_lastSession;
     carryOut(number, scheduler::agentConnected(entry.state, nameOf("agent", agentNumber), m_now));
-    on(agent, LinkDelay, [this, agentNumber, number, id = session.number] {
+    std::optional<catalog::Cordons> known;
+    if (entry.knowsCordons)
+        known = entry.state.cordons;
+    on(agent, LinkDelay, [this, agentNumber, number, known, id = session.number] {
         Agent &opened = *m_agents[static_cast<std::size_t>(agentNumber)];
+        if (known)
+            carryOut(agentNumber,
+                     runner::cordonsHeard(opened.state, *known, runner::CordonSource::Entry,
+                                          m_now));
         carryOut(agentNumber,
                  runner::openSession(opened.state, id, nameOf("entry", number), m_now));
     });
@@ -371,6 +388,7 @@
         // Without a disk a new life can only guess a higher fence; the endpoint corrects it.
         m_lastFence += m_settings.fenceRises ? 1000 : 0;
         agent.state = runner::makeRunner(m_settings.runner, agent.life, m_lastFence);
+        tellAgent(number);
         beat(number);
         tickAgent(number);
     });
@@ -390,6 +408,7 @@
         runner::EndpointReport report;
         report.life = agent.endpoint->life;
         report.service = "service";
+        report.dataCentre = m_settings.agentsIgnoreCordons ? "" : dataCentreOf(number);
         report.capacity = Capacity;
         report.sequence = ++agent.beats;
         report.clock = agent.endpoint->clock(m_now);
@@ -438,11 +457,13 @@
     for (const runner::StartOrder &start : actions.starts)
         order(
                 number, start, Milliseconds(0),
-                [this](FakeEndpoint &endpoint, const runner::StartOrder &wanted) {
+                [this, number](FakeEndpoint &endpoint, const runner::StartOrder &wanted) {
                     const Milliseconds work = m_specs.at(wanted.id.task.job).steps[0].estimate;
                     const auto answered = endpoint.start(wanted, m_now, work);
                     if (answered.answer == runner::Answer::Ok)
                         m_began.insert(wanted.id.task.job);
+                    if (answered.answer == runner::Answer::Ok)
+                        noteStart(number);
                     return answered;
                 },
                 [this, number, id = start.id](const runner::Answered &answered) {
@@ -489,6 +510,73 @@
     }
 }
 
+// [SECTION] Control
+
+std::string World::dataCentreOf(int agent) const
+{
+    return nameOf("dc", agent % DataCentres);
+}
+
+void World::changeCordon(const std::string &dataCentre, bool cordoned)
+{
+    // Without control nothing is agreed on: the operator goes on asking.
+    if (m_now < m_controlAwayUntil)
+        return at(m_controlAwayUntil,
+                  [this, dataCentre, cordoned] { changeCordon(dataCentre, cordoned); });
+    catalog::AgreedState state;
+    state.cordons = m_cordons;
+    const catalog::CordonOrder order { dataCentre, cordoned, m_cordons.revision };
+    if (catalog::apply(state, order) != catalog::Applied::Changed)
+        return;
+    m_cordons = state.cordons;
+    if (cordoned)
+        m_cordonedSince[dataCentre] = m_now;
+    else
+        m_cordonedSince.erase(dataCentre);
+    for (int i = 0; i < m_settings.agents; ++i)
+        tellAgent(i);
+    for (int i = 0; i < m_settings.entries; ++i)
+        tellEntry(i);
+}
+
+// A process is told what is agreed when the news reaches it, or once control is back.
+void World::tellAgent(int number)
+{
+    Agent &agent = *m_agents[static_cast<std::size_t>(number)];
+    std::uniform_int_distribution<std::int64_t> way(1, LongestNews.count());
+    on(agent, Milliseconds(way(m_random)), [this, number] {
+        Agent &told = *m_agents[static_cast<std::size_t>(number)];
+        const Time reachable = std::max(m_controlAwayUntil, told.cutUntil);
+        if (m_now < reachable)
+            return on(told, std::chrono::ceil<Milliseconds>(reachable - m_now),
+                      [this, number] { tellAgent(number); });
+        carryOut(number,
+                 runner::cordonsHeard(told.state, m_cordons, runner::CordonSource::Control, m_now));
+    });
+}
+
+void World::tellEntry(int number)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    std::uniform_int_distribution<std::int64_t> way(1, LongestNews.count());
+    on(entry, Milliseconds(way(m_random)), [this, number] {
+        Entry &told = *m_entries[static_cast<std::size_t>(number)];
+        if (m_now < m_controlAwayUntil)
+            return on(told, std::chrono::ceil<Milliseconds>(m_controlAwayUntil - m_now),
+                      [this, number] { tellEntry(number); });
+        told.knowsCordons = true;
+        carryOut(number, scheduler::takeCordons(told.state, m_cordons, m_now));
+    });
+}
+
+// A task began at the agent's endpoint.
+void World::noteStart(int agent)
+{
+    const auto since = m_cordonedSince.find(dataCentreOf(agent));
+    if (since != m_cordonedSince.end() && m_now > since->second + CordonBound)
+        violate(m_outcome.startsCordoned, "a start in cordoned " + since->first);
+}
+
 // [SECTION] Faults
 
 void World::drawFaults()
@@ -580,6 +668,15 @@
     case Fault::CallerCancels:
         callerGoes(static_cast<int>(entryNumber), false);
         break;
+    case Fault::Cordon:
+        changeCordon(dataCentreOf(static_cast<int>(agentNumber)), true);
+        later([this, agentNumber] {
+            changeCordon(dataCentreOf(static_cast<int>(agentNumber)), false);
+        });
+        break;
+    case Fault::ControlAway:
+        m_controlAwayUntil = std::max(m_controlAwayUntil, m_now + lasts);
+        break;
     }
 }
 
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -40,6 +40,12 @@
 
     // A caller goes and does not come back.
     CallerCancels,
+
+    // A data centre is cordoned for a while.
+    Cordon,
+
+    // Control tells nobody anything, and agrees on nothing.
+    ControlAway,
 };
 
 // Drawn together as "all": those after which every job is sent again until it is answered
@@ -64,6 +70,9 @@
     runner::RunnerSettings runner;
     scheduler::SchedulerSettings scheduler;
     bool fenceRises = true;
+
+    // Agents do not look at cordons.
+    bool agentsIgnoreCordons = false;
 };
 
 struct WorldOutcome
@@ -81,6 +90,9 @@
 
     // Runs that went on long after nobody waited for their job
     std::uint64_t runsUnwanted = 0;
+
+    // Starts in a data centre that had been cordoned for longer than the news of it takes
+    std::uint64_t startsCordoned = 0;
     std::string firstViolation;
 };
 
@@ -122,6 +134,13 @@
     void order(int agent, const Order &order, Milliseconds wait, Do run, Answered back);
     void beat(int agent);
 
+    // Control, which knows the cordons
+    std::string dataCentreOf(int agent) const;
+    void changeCordon(const std::string &dataCentre, bool cordoned);
+    void tellAgent(int agent);
+    void tellEntry(int entry);
+    void noteStart(int agent);
+
     void drawFaults();
     void strike(Fault fault);
     void restartEntry(int entry, Milliseconds after);
@@ -161,6 +180,11 @@
     // By job: callers that wait for it, and when the last one ceased to
     std::map<std::string, int> m_callers;
     std::map<std::string, Time> m_unwantedSince;
+
+    // Control: what is agreed, since when each data centre is cordoned, and until when it is away
+    catalog::Cordons m_cordons;
+    std::map<std::string, Time> m_cordonedSince;
+    Time m_controlAwayUntil {};
     WorldOutcome m_outcome;
 };
 
