Dial control hosts that were listed while all places were taken

Cause: an entry or agent keeps connections to twelve control hosts at the most.

Change: who gets a place is a decision without sockets now (peerbook.h), and ControlLinks only dials. Each tick gives places that came free to hosts that connected control hosts still list, and to seeds.

--- a/packages/fleet/src/core.cpp
+++ b/packages/fleet/src/core.cpp
@@ -7,9 +7,6 @@
 */
 #include "core.h"
 
-#include <algorithm>
-#include <set>
-
 namespace foxwing::fleet {
 
 using eventlog::change;
@@ -65,14 +62,6 @@
 constexpr Milliseconds ControlBeat { 500 };
 constexpr Milliseconds ControlSilence { 2000 };
 
-// Control hosts that a node keeps connections to; the group has seven voters at the most, and
-// others may be on their way in or out.
-constexpr std::size_t MostControlPeers = 12;
-
-// A host that is neither a seed nor listed any more, and was out of reach for this long, is gone
-// for good; over a long day hosts that were replaced would take all the places.
-constexpr Milliseconds ForgetPeerAfter { 30000 };
-
 } // namespace
 
 struct ControlLinks::Peer
@@ -81,12 +70,6 @@
     std::shared_ptr<fabric::Link> link;
     Time heardAt {};
     Time sentAt {};
-
-    // The control hosts that it lists
-    std::set<std::string> lists;
-
-    // When a control host began to list it
-    Time listedAt {};
     bool wasLost = false;
 };
 
@@ -107,13 +90,13 @@
 
 void ControlLinks::keep(const std::string &address)
 {
-    const auto known = m_peers.find(address);
-    if (known != m_peers.end())
-        known->second->listedAt = steadyNow();
-    if (known != m_peers.end() || m_peers.size() >= MostControlPeers)
-        return;
+    if (fleet::keep(m_book, address, steadyNow()))
+        dial(address);
+}
+
+void ControlLinks::dial(const std::string &address)
+{
     Peer &peer = *m_peers.emplace(address, std::make_unique<Peer>()).first->second;
-    peer.listedAt = steadyNow();
     peer.dialer =
             std::make_unique<fabric::Dialer>(m_core.io, address, fabric::DialerSettings(),
                                              [this,
@@ -128,6 +111,7 @@
     peer.link = link;
     peer.heardAt = now;
     peer.sentAt = now;
+    fleet::connected(m_book, peer.dialer->address(), now);
     link->start([this, &peer](std::string_view bytes) { received(peer, bytes); },
                 [this, &peer] {
                     writeEvent(m_core.log,
@@ -135,7 +119,7 @@
                                        .with("host", peer.dialer->address())
                                        .with("heard_ms_ago", steadyNow() - peer.heardAt));
                     peer.link.reset();
-                    peer.lists.clear();
+                    connectionLost(m_book, peer.dialer->address());
                     peer.wasLost = true;
                     peer.dialer->lost();
                 });
@@ -149,54 +133,31 @@
 {
     peer.heardAt = steadyNow();
     const std::string from = peer.dialer->address();
+    heard(m_book, from, peer.heardAt);
     const auto frame = readFrame(m_core, from, bytes);
     if (!frame)
         return;
     if (const auto *update = std::get_if<directory::DirectoryUpdate>(&*frame)) {
-        takeLists(peer, *update);
+        for (const std::string &address : takeUpdate(m_book, from, *update, peer.heardAt))
+            dial(address);
         m_events.directory(from, *update);
     } else if (const auto *push = std::get_if<AgreedPush>(&*frame)) {
         m_events.agreed(*push);
     }
 }
 
-void ControlLinks::takeLists(Peer &peer, const directory::DirectoryUpdate &update)
+void ControlLinks::keepBook(Time now)
 {
-    if (update.whole)
-        peer.lists.clear();
-    for (const std::string &address : update.gone)
-        peer.lists.erase(address);
-    for (const directory::NodeInfo &node : update.nodes) {
-        if (node.role != directory::Role::Control) {
-            peer.lists.erase(node.address);
-            continue;
-        }
-        peer.lists.insert(node.address);
-        keep(node.address);
-    }
-}
-
-bool ControlLinks::isListed(const std::string &address) const
-{
-    return std::any_of(m_peers.begin(), m_peers.end(),
-                       [&](const auto &item) { return item.second->lists.count(address) != 0; });
-}
-
-void ControlLinks::forgetGone(Time now)
-{
-    const std::vector<std::string> seeds = seedAddresses(m_core.settings);
-    for (auto item = m_peers.begin(); item != m_peers.end();) {
-        const Peer &peer = *item->second;
-        const bool isSeed = std::find(seeds.begin(), seeds.end(), item->first) != seeds.end();
-        const bool gone = !peer.link && !isSeed && !isListed(item->first)
-                && now >= peer.listedAt + ForgetPeerAfter && now >= peer.heardAt + ForgetPeerAfter;
-        item = gone ? m_peers.erase(item) : std::next(item);
-    }
+    const PeerChanges changes = fleet::tick(m_book, seedAddresses(m_core.settings), now);
+    for (const std::string &address : changes.dropped)
+        m_peers.erase(address);
+    for (const std::string &address : changes.added)
+        dial(address);
 }
 
 void ControlLinks::tick(Time now)
 {
-    forgetGone(now);
+    keepBook(now);
     for (auto &[address, peer] : m_peers) {
         if (!peer->link)
             continue;
--- a/packages/fleet/src/core.h
+++ b/packages/fleet/src/core.h
@@ -23,6 +23,7 @@
 #include <foxwing/metrics/metrics.h>
 
 #include "messages.h"
+#include "peerbook.h"
 
 namespace foxwing::fleet {
 
@@ -100,14 +101,14 @@
 private:
     struct Peer;
     void keep(const std::string &address);
-    void forgetGone(Time now);
+    void dial(const std::string &address);
+    void keepBook(Time now);
     void connected(Peer &peer, const std::shared_ptr<fabric::Link> &link);
     void received(Peer &peer, std::string_view bytes);
-    void takeLists(Peer &peer, const directory::DirectoryUpdate &update);
-    bool isListed(const std::string &address) const;
 
     Core &m_core;
     ControlEvents m_events;
+    PeerBook m_book;
     std::map<std::string, std::unique_ptr<Peer>> m_peers;
 };
 
