Hold calls for a moment after an entry's start, until it knows its queues

Cause: after a loss of all power entries are back 0.1 to 0.3 s before a quorum of control.

Change: a call that comes within a second of an entry's start is held up to 0.25 s (heldcalls.h, no sockets). When the queues are known it goes on, with its objective counted from its arrival (JobTerms::cameAt); one that can't be on time any more is refused as not run. Later than a second after its start an entry without a catalog refuses at once, as before: control may be down for long.

--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -12,6 +12,7 @@
 #include <foxwing/fabric/httpserver.h>
 
 #include "core.h"
+#include "heldcalls.h"
 
 namespace foxwing::fleet {
 
@@ -64,9 +65,12 @@
 private:
     // Callers
     void handleCaller(const ExchangePtr &exchange);
+    void serveCaller(const ExchangePtr &exchange, Time cameAt);
+    void refuseHeld(Time now);
+    void serveHeld();
     void handleReadiness(const ExchangePtr &exchange);
     void submit(const ExchangePtr &exchange, const CallerCall &call,
-                const catalog::QueueDeclaration &queue);
+                const catalog::QueueDeclaration &queue, Time cameAt);
     void refuse(const ExchangePtr &exchange, CallerRefusal refusal, const std::string &reason);
     void callerGone(std::uint64_t number, const ExchangePtr &exchange);
     bool ready() const;
@@ -98,6 +102,8 @@
     bool m_knowsCordons = false;
     std::map<std::string, AgentPeer> m_agents;
 
+    HeldCalls m_held;
+
     // By control host
     std::map<std::string, std::set<std::string>> m_listed;
     std::map<std::uint64_t, std::vector<ExchangePtr>> m_waiting;
@@ -121,6 +127,7 @@
     if (!m_callers)
         return false;
     m_lastTurn = steadyNow();
+    m_held.startedAt = m_lastTurn;
     if (m_core.settings.readiness.empty())
         return true;
     m_readiness = serveHttp(
@@ -158,10 +165,37 @@
 
 void EntryShell::handleCaller(const ExchangePtr &exchange)
 {
-    checkPause(steadyNow());
+    const Time now = steadyNow();
+    checkPause(now);
+    if (m_catalog.version > 0)
+        return serveCaller(exchange, now);
+    if (!hold(m_held, exchange, now))
+        refuse(exchange, CallerRefusal::NotConfigured, "no catalog has come yet");
+}
+
+void EntryShell::refuseHeld(Time now)
+{
+    for (const HeldCall &call : expired(m_held, now))
+        refuse(call.exchange, CallerRefusal::NotConfigured, "no catalog has come yet");
+}
+
+void EntryShell::serveHeld()
+{
+    const std::vector<HeldCall> calls = release(m_held);
+    if (!calls.empty())
+        writeEvent(m_core.log,
+                   change("held-calls-served")
+                           .with("calls", std::uint64_t { calls.size() })
+                           .with("oldest_ms", steadyNow() - calls.front().cameAt));
+    for (const HeldCall &call : calls) {
+        if (call.exchange->callerIsThere())
+            serveCaller(call.exchange, call.cameAt);
+    }
+}
+
+void EntryShell::serveCaller(const ExchangePtr &exchange, Time cameAt)
+{
     const CallerCall call = m_dialect.readCall(exchange->request());
-    if (m_catalog.version == 0)
-        return refuse(exchange, CallerRefusal::NotConfigured, "no catalog has come yet");
     const catalog::QueueDeclaration *queue = catalog::findQueue(m_catalog, call.host, call.path);
     if (!queue) {
         ++m_notFound;
@@ -169,7 +203,7 @@
     }
     switch (call.wish) {
     case CallerWish::Submit:
-        return submit(exchange, call, *queue);
+        return submit(exchange, call, *queue, cameAt);
     case CallerWish::AskWaiting:
         // Jobs that are answered when they end are in nobody's count.
         return exchange->answer(m_dialect.writeWaiting(0));
@@ -183,7 +217,7 @@
 }
 
 void EntryShell::submit(const ExchangePtr &exchange, const CallerCall &call,
-                        const catalog::QueueDeclaration &queue)
+                        const catalog::QueueDeclaration &queue, Time cameAt)
 {
     Error reason;
     const auto spec = m_dialect.readJob(exchange->request(), call.path.substr(queue.prefix.size()),
@@ -200,15 +234,16 @@
     terms.attempts = queue.attempts;
     terms.stretch = std::clamp(queue.stretch, 0.0, MostStretch);
     terms.targetLatency = queue.targetLatency;
-    terms.beginBy = now + queue.timeout;
+    terms.cameAt = cameAt;
+    terms.beginBy = cameAt + queue.timeout;
     if (call.patience)
-        terms.patienceUntil = now + *call.patience;
+        terms.patienceUntil = cameAt + *call.patience;
     std::uint64_t number = 0;
     scheduler::SchedulerActions actions = scheduler::submit(m_scheduler, *spec, terms, now,
                                                             &number);
     m_waiting[number].push_back(exchange);
     m_queueOf[number] = queue.name;
-    m_cameAt.emplace(number, now);
+    m_cameAt.emplace(number, cameAt);
     exchange->onGone([this, number, weak = std::weak_ptr<fabric::Exchange>(exchange)] {
         if (const auto gone = weak.lock())
             callerGone(number, gone);
@@ -400,6 +435,7 @@
     limits.headerTimeout = catalog.limits.headerTimeout;
     limits.idleTimeout = catalog.limits.idleTimeout;
     m_callers->setLimits(limits);
+    serveHeld();
 }
 
 // [SECTION] Time
@@ -421,6 +457,7 @@
 void EntryShell::tick(Time now)
 {
     checkPause(now);
+    refuseHeld(now);
     m_control.tick(now);
     carryOut(scheduler::tick(m_scheduler, now));
 }
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -45,17 +45,18 @@
     Job job;
     job.spec = spec;
     job.terms = terms;
-    job.arrivedAt = now;
+    job.arrivedAt = terms.cameAt.value_or(now);
     job.guessed = longestChain(spec, guesses(spec));
     const auto times = scheduler.runTimes.find(terms.queue);
     const bool learned = settings.learnRunTimes && times != scheduler.runTimes.end();
     job.expected = learned ? expectedRunTime(times->second, job.guessed) : job.guessed;
     const Milliseconds chain = job.expected;
-    job.objectiveAt = now + scaled(chain, terms.stretch) + terms.targetLatency;
+    job.objectiveAt = job.arrivedAt + scaled(chain, terms.stretch) + terms.targetLatency;
     job.latestBegin = job.objectiveAt - chain;
     job.onTimeUntil = std::max(now, job.latestBegin - chain * settings.marginPercent / 100);
-    const auto objective = std::chrono::duration_cast<Milliseconds>(job.objectiveAt - now);
-    job.worthUntil = now + scaled(objective, settings.lateFactor) - chain;
+    const auto objective = std::chrono::duration_cast<Milliseconds>(job.objectiveAt
+                                                                    - job.arrivedAt);
+    job.worthUntil = job.arrivedAt + scaled(objective, settings.lateFactor) - chain;
     return job;
 }
 
@@ -158,6 +159,8 @@
     const std::uint64_t tasks = taskCount(job.spec);
     if (tasks == 0 || tasks > scheduler.settings.mostTasksPerJob)
         return "a job needs at least one task, and at most the number in the settings";
+    if (job.arrivedAt < now && now > job.latestBegin && scheduler.settings.refuseLate)
+        return "it waited too long for the queues to be known";
     const Microseconds wait = expectedWait(scheduler, job);
     const Microseconds objective = job.objectiveAt - job.arrivedAt;
     if (wait > scaled(std::chrono::duration_cast<Milliseconds>(objective),
--- a/packages/scheduler/tests/admission_test.cpp
+++ b/packages/scheduler/tests/admission_test.cpp
@@ -143,5 +143,44 @@
     EXPECT_EQ(startsIn(bench.report("agent-0", { endOf("job", 0, 1, RunEnd::Stopped) })), 1U);
 }
 
+// Calls that came while an entry did not know its queues yet. A job of 100 ms work has to begin
+// within 120 ms of its call.
+struct HeldCase
+{
+    const char *name;
+    Milliseconds held;
+    bool starts;
+};
+
+class Held : public testing::TestWithParam<HeldCase>
+{ };
+
+TEST_P(Held, JobsCountFromTheirCall)
+{
+    Bench bench({ 4000 });
+    jobs::JobSpec spec;
+    spec.id = "job";
+    spec.traits = bench.traits;
+    jobs::StepSpec step;
+    step.tasks = 1;
+    step.room = { 1000, 10, 0 };
+    step.estimate = Milliseconds(100);
+    spec.steps = { step };
+    JobTerms terms = bench.terms();
+    terms.cameAt = bench.now - GetParam().held;
+    const SchedulerActions actions = submit(bench.scheduler, spec, terms, bench.now, &bench.number);
+    EXPECT_EQ(startsIn(actions), GetParam().starts ? 1U : 0U);
+    ASSERT_EQ(actions.answers.size(), GetParam().starts ? 0U : 1U);
+    if (!GetParam().starts) {
+        EXPECT_EQ(actions.answers[0].outcome, JobOutcome::NotRun);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Scheduler, Held,
+                         testing::Values(HeldCase { "NotAtAll", Milliseconds(0), true },
+                                         HeldCase { "Shortly", Milliseconds(120), true },
+                                         HeldCase { "TooLong", Milliseconds(121), false }),
+                         [](const auto &tested) { return tested.param.name; });
+
 } // namespace
 } // namespace foxwing::scheduler
