--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -106,7 +106,8 @@
         policy.order = *known;
     else
         table.refuse("order",
-                     "must be \"latest-begin\", \"newest\", \"first-come\" or \"priority\"");
+                     "must be \"latest-begin\", \"newest\", \"first-come\", \"priority\" or "
+                     "\"least-work\"");
     std::string placement = scheduler::toString(policy.placement);
     table.text("placement", placement);
     const auto knownPlacement = scheduler::placementNamed(placement);
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -60,6 +60,10 @@
     // By the queue's priority, and among equals by the latest time to begin; jobs that can't be on
     // time last
     Priority,
+
+    // As Priority, but of the jobs that have not begun the one with the least work first: with more
+    // work than room more of them are served
+    LeastWork,
 };
 
 const char *toString(Placement placement);
@@ -269,6 +273,10 @@
     // A job with the same id whose runs are not over yet
     std::uint64_t waitsFor = 0;
     Rank group = Rank::OnTime;
+
+    // The work that waited when the job was queued, in thousandths of a core times milliseconds;
+    // only where the order goes by it
+    std::int64_t leftWhenQueued = 0;
 };
 
 // [SECTION] Agents
--- a/packages/scheduler/src/order.cpp
+++ b/packages/scheduler/src/order.cpp
@@ -10,6 +10,21 @@
 
 // [SECTION] Order
 
+namespace {
+
+// Of the tasks that wait, in thousandths of a core times milliseconds
+std::int64_t workLeft(const Job &job)
+{
+    std::int64_t work = 0;
+    for (const Task &task : job.tasks) {
+        if (task.state == TaskState::Waiting)
+            work += job.spec.steps[task.step].room.milliCores * task.expected.count();
+    }
+    return work;
+}
+
+} // namespace
+
 QueueKey keyOf(const SchedulerState &scheduler, const Job &job)
 {
     QueueKey key;
@@ -24,6 +39,7 @@
         key.group = job.group;
         key.rank = job.group == Rank::Begun ? latestBegin : -arrived;
         break;
+    case Order::LeastWork:
     case Order::Priority:
         key.priority = job.terms.priority;
         [[fallthrough]];
@@ -32,6 +48,9 @@
         // Of those that are late the newest goes first: the oldest are the next to be worth
         // nothing.
         key.rank = job.group == Rank::Late ? -arrived : latestBegin;
+        // What has begun goes on by its time: by its work the widest of these jobs would end late.
+        if (scheduler.settings.order == Order::LeastWork && job.group == Rank::OnTime)
+            key.rank = job.leftWhenQueued;
         break;
     }
     return key;
@@ -41,6 +60,8 @@
 {
     if (job.over || job.waiting == 0 || job.waitsFor != 0)
         return;
+    if (scheduler.settings.order == Order::LeastWork)
+        job.leftWhenQueued = workLeft(job);
     scheduler.queue.insert(keyOf(scheduler, job));
     scheduler.untried = true;
 }
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -66,6 +66,8 @@
         return "newest";
     case Order::FirstCome:
         return "first-come";
+    case Order::LeastWork:
+        return "least-work";
     case Order::Priority:
         break;
     }
@@ -74,8 +76,8 @@
 
 std::optional<Order> orderNamed(const std::string &name)
 {
-    for (const Order order :
-         { Order::LatestBegin, Order::Newest, Order::FirstCome, Order::Priority }) {
+    for (const Order order : { Order::LatestBegin, Order::Newest, Order::FirstCome, Order::Priority,
+                               Order::LeastWork }) {
         if (name == toString(order))
             return order;
     }
--- a/packages/scheduler/tests/order_test.cpp
+++ b/packages/scheduler/tests/order_test.cpp
@@ -45,13 +45,45 @@
                          testing::Values(OrderCase { "LatestBegin", Order::LatestBegin, "urgent" },
                                          OrderCase { "Newest", Order::Newest, "urgent" },
                                          OrderCase { "Priority", Order::Priority, "urgent" },
+                                         OrderCase { "LeastWork", Order::LeastWork, "urgent" },
                                          OrderCase { "FirstCome", Order::FirstCome, "patient" }),
                          [](const auto &tested) { return tested.param.name; });
 
+struct WidthCase
+{
+    const char *name;
+    Order order;
+    const char *first;
+};
+
+class Widths : public testing::TestWithParam<WidthCase>
+{ };
+
+// A wide job came first, a narrow one with as much time after it; only one task finds room.
+TEST_P(Widths, CountWhereLeastWorkGoesFirst)
+{
+    SchedulerSettings settings;
+    settings.order = GetParam().order;
+    Bench bench({ 1000 }, settings);
+    bench.submit("running", 1);
+    bench.submit("wide", 4);
+    bench.now += Milliseconds(1);
+    bench.submit("narrow", 1);
+    const SchedulerActions actions = bench.report("agent-0",
+                                                  { endOf("running", 0, 1, RunEnd::Done) }, 1000);
+    ASSERT_EQ(startsIn(actions), 1U);
+    EXPECT_EQ(std::get<jobs::StartTasks>(actions.sends.at(0).message).job, GetParam().first);
+}
+
+INSTANTIATE_TEST_SUITE_P(Scheduler, Widths,
+                         testing::Values(WidthCase { "Priority", Order::Priority, "wide" },
+                                         WidthCase { "LeastWork", Order::LeastWork, "narrow" }),
+                         [](const auto &tested) { return tested.param.name; });
+
 TEST(SchedulerOrder, NamesAreReadBack)
 {
     for (const Order order :
-         { Order::LatestBegin, Order::Newest, Order::FirstCome, Order::Priority })
+         { Order::LatestBegin, Order::Newest, Order::FirstCome, Order::Priority, Order::LeastWork })
         EXPECT_EQ(orderNamed(toString(order)), order);
     EXPECT_FALSE(orderNamed("sideways"));
     for (const Placement placement : { Placement::Fastest, Placement::Random, Placement::MostRoom })
--- /dev/null
+++ b/tests/rig/rig.cpp
@@ -0,0 +1,691 @@
+/*
+    The load replay.
+
+    [SECTION] Parts
+    [SECTION] Events
+    [SECTION] Callers
+    [SECTION] Entries
+    [SECTION] Agents
+    [SECTION] Endpoints
+    [SECTION] Report
+    [SECTION] Spells
+*/
+#include "rig.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <queue>
+
+namespace foxwing::test {
+
+// [SECTION] Parts
+
+namespace {
+
+constexpr Milliseconds TickInterval { 20 };
+constexpr Milliseconds BeatInterval { 1500 };
+constexpr Microseconds OrderDelay { 300 };
+constexpr Milliseconds LookTimeout { 25 };
+
+// Jobs that come before it find empty endpoints, and count for nothing.
+constexpr Milliseconds WarmUp { 1500 };
+
+// Room is looked at so often.
+constexpr Milliseconds SampleInterval { 10 };
+constexpr double Spread = 0.4;
+constexpr double RoomSpread = 0.2;
+constexpr double TaskSpread = 0.15;
+constexpr double Stretch = 1.6;
+constexpr Milliseconds Latency { 60 };
+
+struct Running
+{
+    jobs::Room room;
+    Time startedAt {};
+    Time doneAt {};
+    bool stopping = false;
+    bool fails = false;
+};
+
+struct Host
+{
+    runner::RunnerState state;
+    double speed = 1;
+    jobs::Room capacity;
+    int dataCentre = 0;
+    bool fails = false;
+    bool outOfReach = false;
+    std::map<jobs::RunId, Running> runs;
+    std::vector<runner::EndedRow> ended;
+    std::uint64_t lastEnd = 0;
+
+    // A look that waits for an end
+    std::optional<runner::LookOrder> look;
+    Time lookUntil {};
+    std::uint64_t beats = 0;
+};
+
+struct EntryHost
+{
+    scheduler::SchedulerState state;
+    int dataCentre = 0;
+    std::map<std::uint64_t, std::string> calls;
+};
+
+struct Call
+{
+    jobs::JobSpec spec;
+    std::size_t queue = 0;
+    Time cameAt {};
+
+    // By the work as it is, not as it was guessed
+    Microseconds objective { 0 };
+    double size = 0;
+    std::vector<Microseconds> work;
+};
+
+class Rig
+{
+public:
+    explicit Rig(const RigSettings &settings);
+    RigReport play();
+
+private:
+    void at(Time when, std::function<void()> job) { m_events.push({ when, ++m_order, job }); }
+    double normal(double spread) { return std::normal_distribution<double>(0, spread)(m_random); }
+
+    // Callers
+    void planArrivals(std::size_t queue);
+    void arrive(std::size_t queue);
+    double rateFactor(const std::string &queue) const;
+    Call makeCall(std::size_t queue);
+    void answered(std::size_t entry, const scheduler::JobAnswer &answer);
+    bool hasRoomSomewhere(const jobs::Room &room) const;
+
+    // Entries and agents
+    Microseconds way(std::size_t entry, std::size_t host) const;
+    void openSession(std::size_t entry, std::size_t host);
+    void tickEntry(std::size_t entry);
+    void tickHost(std::size_t host);
+    void beat(std::size_t host);
+    void carryOut(std::size_t entry, scheduler::SchedulerActions &&actions);
+    void carryOut(std::size_t host, runner::RunnerActions &&actions);
+    void deliver(std::size_t entry, std::size_t host, const scheduler::AgentSend &send);
+
+    // Endpoints
+    Milliseconds clock() const;
+    void start(std::size_t host, const runner::StartOrder &order);
+    void stop(std::size_t host, const runner::StopOrder &order);
+    void endRun(std::size_t host, const jobs::RunId &id, jobs::RunEnd how);
+    void answerLook(std::size_t host);
+    void strike(const EndpointTrouble &trouble, bool begins);
+    void cordon(const CordonSpan &span, bool begins);
+    void sample();
+    double credit(const Call &call) const;
+
+    struct Event
+    {
+        Time when {};
+        std::uint64_t order = 0;
+        std::function<void()> job;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(other.when, other.order) < std::tie(when, order);
+        }
+    };
+
+    RigSettings m_settings;
+    std::mt19937_64 m_random;
+    Time m_now { Seconds(1000) };
+    Time m_begin {};
+    Time m_end {};
+    std::uint64_t m_order = 0;
+    std::priority_queue<Event> m_events;
+    std::vector<EntryHost> m_entries;
+    std::vector<Host> m_hosts;
+    std::map<std::string, Call> m_calls;
+    std::uint64_t m_lastJob = 0;
+    catalog::Cordons m_cordons;
+    RigReport m_report;
+    double m_owed = 0;
+    double m_earned = 0;
+    double m_idle = 0;
+    double m_room = 0;
+    std::uint64_t m_tasks = 0;
+};
+
+std::string nameOf(std::size_t host)
+{
+    return "agent-" + std::to_string(host);
+}
+
+std::string centreName(int dataCentre)
+{
+    return "dc-" + std::to_string(dataCentre);
+}
+
+Rig::Rig(const RigSettings &settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_begin(m_now + WarmUp)
+    , m_end(m_begin + settings.length)
+{
+    for (std::size_t centre = 0; centre < settings.entries.size(); ++centre) {
+        for (int i = 0; i < settings.entries[centre]; ++i) {
+            EntryHost entry;
+            entry.dataCentre = static_cast<int>(centre);
+            scheduler::SchedulerSettings policy = settings.scheduler;
+            policy.seed = m_random();
+            policy.dataCentre = centreName(entry.dataCentre);
+            entry.state = scheduler::makeScheduler(policy);
+            m_entries.push_back(std::move(entry));
+        }
+        for (int i = 0; i < settings.agents[centre]; ++i) {
+            Host host;
+            const std::size_t number = m_hosts.size();
+            host.dataCentre = static_cast<int>(centre);
+            host.speed = settings.speeds[number % settings.speeds.size()];
+            host.capacity = { settings.cores[number % settings.cores.size()], 65536, 0 };
+            host.state = runner::makeRunner(settings.runner, 1, 1000);
+            m_hosts.push_back(std::move(host));
+        }
+    }
+}
+
+// [SECTION] Events
+
+RigReport Rig::play()
+{
+    for (EntryHost &entry : m_entries)
+        entry.state.entries = static_cast<std::uint32_t>(m_entries.size());
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        carryOut(host,
+                 runner::cordonsHeard(m_hosts[host].state, {}, runner::CordonSource::Control,
+                                      m_now));
+        beat(host);
+        tickHost(host);
+        for (std::size_t entry = 0; entry < m_entries.size(); ++entry)
+            openSession(entry, host);
+    }
+    for (std::size_t entry = 0; entry < m_entries.size(); ++entry)
+        tickEntry(entry);
+    for (std::size_t queue = 0; queue < m_settings.queues.size(); ++queue)
+        planArrivals(queue);
+    for (const EndpointTrouble &trouble : m_settings.troubles) {
+        at(m_begin + trouble.from, [this, trouble] { strike(trouble, true); });
+        at(m_begin + trouble.until, [this, trouble] { strike(trouble, false); });
+    }
+    for (const CordonSpan &span : m_settings.cordons) {
+        at(m_begin + span.from, [this, span] { cordon(span, true); });
+        at(m_begin + span.until, [this, span] { cordon(span, false); });
+    }
+    at(m_begin, [this] { sample(); });
+    constexpr Milliseconds Tail { 4000 };
+    while (!m_events.empty() && m_events.top().when < m_end + Tail) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.when;
+        event.job();
+    }
+    std::uint64_t starts = 0;
+    for (const EntryHost &entry : m_entries)
+        starts += entry.state.counters.starts;
+    m_report.startsPerTask = static_cast<double>(starts)
+            / static_cast<double>(std::max<std::uint64_t>(1, m_tasks));
+    m_report.creditPercent = 100 * m_earned / std::max(1e-9, m_owed);
+    m_report.idleWhileWaiting = 100 * m_idle / std::max(1e-9, m_room);
+    return m_report;
+}
+
+// [SECTION] Callers
+
+double Rig::rateFactor(const std::string &queue) const
+{
+    double factor = 1;
+    for (const Burst &burst : m_settings.bursts) {
+        const bool on = m_now >= m_begin + burst.from && m_now < m_begin + burst.until;
+        if (on && (burst.queue.empty() || burst.queue == queue))
+            factor *= burst.factor;
+    }
+    return factor;
+}
+
+void Rig::planArrivals(std::size_t queue)
+{
+    const QueueLoad &load = m_settings.queues[queue];
+    const double rate = load.perSecond * rateFactor(load.name);
+    const double gap = std::exponential_distribution<double>(rate)(m_random);
+    at(m_now + std::chrono::duration_cast<Microseconds>(std::chrono::duration<double>(gap)),
+       [this, queue] {
+           if (m_now >= m_end)
+               return;
+           arrive(queue);
+           planArrivals(queue);
+       });
+}
+
+Call Rig::makeCall(std::size_t queue)
+{
+    const QueueLoad &load = m_settings.queues[queue];
+    Call call;
+    call.queue = queue;
+    call.cameAt = m_now;
+    const auto logNormal = [&](double spread) {
+        return std::exp(normal(spread) - spread * spread / 2);
+    };
+    const double width = std::round(load.width * logNormal(Spread));
+    jobs::StepSpec step;
+    step.tasks = std::clamp(static_cast<std::uint32_t>(std::max(1.0, width)), 1U, load.mostWidth);
+    step.room = { static_cast<std::int64_t>(1500 * logNormal(RoomSpread)), 64, 0 };
+    const double work = static_cast<double>(load.work.count()) * std::min(4.0, logNormal(Spread));
+    step.estimate = Milliseconds(std::max<std::int64_t>(1, std::lround(work * logNormal(Spread))));
+    Microseconds longest { 0 };
+    for (std::uint32_t i = 0; i < step.tasks; ++i) {
+        const double each = std::max(0.3, 1 + normal(TaskSpread)) * work;
+        call.work.push_back(std::chrono::duration_cast<Microseconds>(
+                std::chrono::duration<double, std::milli>(each)));
+        longest = std::max(longest, call.work.back());
+    }
+    call.spec.id = "job-" + std::to_string(++m_lastJob);
+    call.spec.traits.kept = false;
+    call.spec.steps = { step };
+    call.objective = std::chrono::duration_cast<Microseconds>(longest * Stretch) + Latency;
+    call.size = width * work / (load.width * static_cast<double>(load.work.count()));
+    return call;
+}
+
+double Rig::credit(const Call &call) const
+{
+    constexpr double Base = 0.3;
+    const double most = 4;
+    return m_settings.queues[call.queue].credit * std::min(most, Base + (1 - Base) * call.size);
+}
+
+// The tenth of jobs with most work, of sizes that are products of two log-normal spreads of 0.4
+constexpr double LargeSize = 1.75;
+
+void Rig::arrive(std::size_t queue)
+{
+    const QueueLoad &load = m_settings.queues[queue];
+    const std::vector<double> &callers = m_settings.callers;
+    const int centre = std::discrete_distribution<int>(callers.begin(), callers.end())(m_random);
+    std::vector<std::size_t> near;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        if (m_entries[i].dataCentre == centre)
+            near.push_back(i);
+    }
+    const std::size_t entry =
+            near[std::uniform_int_distribution<std::size_t>(0, near.size() - 1)(m_random)];
+    const Call call = makeCall(queue);
+    m_calls[call.spec.id] = call;
+    if (m_now >= m_begin) {
+        QueueReport &report = m_report.queues[load.name];
+        ++report.asked;
+        report.largeAsked += call.size > LargeSize ? 1 : 0;
+        m_owed += credit(call);
+    }
+    m_tasks += call.work.size();
+    scheduler::JobTerms terms;
+    terms.queue = load.name;
+    terms.service = "service";
+    terms.priority = load.priority;
+    terms.attempts = load.attempts;
+    terms.stretch = Stretch;
+    terms.targetLatency = Latency;
+    terms.beginBy = m_now + Milliseconds(1500);
+    std::uint64_t number = 0;
+    scheduler::SchedulerActions actions = scheduler::submit(m_entries[entry].state, call.spec,
+                                                            terms, m_now, &number);
+    m_entries[entry].calls[number] = call.spec.id;
+    carryOut(entry, std::move(actions));
+}
+
+bool Rig::hasRoomSomewhere(const jobs::Room &room) const
+{
+    return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const Host &host) {
+        jobs::Room free = host.capacity;
+        for (const auto &[id, run] : host.runs)
+            free -= run.room;
+        return !host.fails && !host.outOfReach && !runner::isCordoned(host.state)
+                && jobs::fits(room, free);
+    });
+}
+
+void Rig::answered(std::size_t entry, const scheduler::JobAnswer &answer)
+{
+    const auto found = m_entries[entry].calls.find(answer.number);
+    if (found == m_entries[entry].calls.end())
+        return;
+    const Call &call = m_calls.at(found->second);
+    m_entries[entry].calls.erase(found);
+    if (call.cameAt < m_begin)
+        return;
+    QueueReport &report = m_report.queues[m_settings.queues[call.queue].name];
+    const Microseconds took = m_now - call.cameAt;
+    const bool onTime = took <= call.objective;
+    switch (answer.outcome) {
+    case scheduler::JobOutcome::Completed:
+        ++(onTime ? report.inAim : report.late);
+        report.largeInAim += onTime && call.size > LargeSize ? 1 : 0;
+        m_earned += onTime ? credit(call) : credit(call) / 5;
+        break;
+    case scheduler::JobOutcome::NotRun:
+        ++report.refused;
+        report.refusedAfter.push_back(took);
+        m_report.refusedWithRoom += hasRoomSomewhere(call.spec.steps[0].room) ? 1 : 0;
+        break;
+    case scheduler::JobOutcome::Failed:
+    case scheduler::JobOutcome::TimedOut:
+        ++report.failed;
+        break;
+    }
+}
+
+// [SECTION] Entries
+
+Microseconds Rig::way(std::size_t entry, std::size_t host) const
+{
+    const bool near = m_entries[entry].dataCentre == m_hosts[host].dataCentre;
+    return near ? m_settings.nearDelay : m_settings.farDelay;
+}
+
+void Rig::openSession(std::size_t entry, std::size_t host)
+{
+    carryOut(entry, scheduler::agentConnected(m_entries[entry].state, nameOf(host), m_now));
+    at(m_now + way(entry, host), [this, entry, host] {
+        carryOut(host,
+                 runner::openSession(m_hosts[host].state, entry + 1,
+                                     "entry-" + std::to_string(entry), m_now));
+    });
+}
+
+void Rig::tickEntry(std::size_t entry)
+{
+    carryOut(entry, scheduler::tick(m_entries[entry].state, m_now));
+    at(m_now + m_settings.tick, [this, entry] { tickEntry(entry); });
+}
+
+void Rig::deliver(std::size_t entry, std::size_t host, const scheduler::AgentSend &send)
+{
+    at(m_now + way(entry, host), [this, entry, host, message = send.message] {
+        if (m_hosts[host].outOfReach)
+            return;
+        runner::RunnerState &state = m_hosts[host].state;
+        if (const auto *start = std::get_if<jobs::StartTasks>(&message))
+            carryOut(host, runner::startTasks(state, entry + 1, *start, m_now));
+        else if (const auto *stop = std::get_if<jobs::StopRuns>(&message))
+            carryOut(host, runner::stopRuns(state, entry + 1, *stop, m_now));
+        else
+            carryOut(host,
+                     runner::sessionBeat(state, entry + 1, std::get<jobs::SessionBeat>(message),
+                                         m_now));
+    });
+}
+
+void Rig::carryOut(std::size_t entry, scheduler::SchedulerActions &&actions)
+{
+    for (const scheduler::AgentSend &send : actions.sends)
+        deliver(entry, std::stoul(send.agent.substr(send.agent.find('-') + 1)), send);
+    for (const scheduler::JobAnswer &answer : actions.answers)
+        answered(entry, answer);
+    for (const std::string &name : actions.closes)
+        carryOut(entry, scheduler::agentLost(m_entries[entry].state, name, m_now));
+}
+
+// [SECTION] Agents
+
+void Rig::tickHost(std::size_t host)
+{
+    carryOut(host, runner::tick(m_hosts[host].state, m_now));
+    at(m_now + TickInterval, [this, host] { tickHost(host); });
+}
+
+void Rig::beat(std::size_t number)
+{
+    Host &host = m_hosts[number];
+    runner::EndpointReport report;
+    report.life = "life-" + std::to_string(number);
+    report.service = "service";
+    report.dataCentre = centreName(host.dataCentre);
+    report.capacity = host.capacity;
+    report.sequence = ++host.beats;
+    report.clock = clock();
+    carryOut(number, runner::endpointHeard(host.state, report, m_now));
+    at(m_now + BeatInterval, [this, number] { beat(number); });
+}
+
+void Rig::carryOut(std::size_t number, runner::RunnerActions &&actions)
+{
+    Host &host = m_hosts[number];
+    for (const runner::StopOrder &order : actions.stops)
+        at(m_now + OrderDelay, [this, number, order] { stop(number, order); });
+    for (const runner::StartOrder &order : actions.starts)
+        at(m_now + OrderDelay, [this, number, order] { start(number, order); });
+    if (actions.look) {
+        host.look = actions.look;
+        host.lookUntil = m_now + actions.look->wait;
+        at(host.lookUntil + OrderDelay, [this, number, look = actions.look->number] {
+            if (m_hosts[number].look && m_hosts[number].look->number == look)
+                answerLook(number);
+        });
+        if (!host.ended.empty())
+            at(m_now + OrderDelay, [this, number] { answerLook(number); });
+    }
+    const auto tell = [&](std::uint64_t session, auto message, auto handle) {
+        const std::size_t entry = session - 1;
+        at(m_now + way(entry, number), [this, number, entry, message, handle] {
+            if (!m_hosts[number].outOfReach)
+                carryOut(entry, handle(m_entries[entry].state, nameOf(number), message, m_now));
+        });
+    };
+    for (const auto &[session, message] : actions.welcomes)
+        tell(session, message, scheduler::agentWelcomed);
+    for (const auto &[session, message] : actions.updates)
+        tell(session, message, scheduler::agentUpdated);
+}
+
+// [SECTION] Endpoints
+
+Milliseconds Rig::clock() const
+{
+    return std::chrono::duration_cast<Milliseconds>(m_now.time_since_epoch());
+}
+
+void Rig::start(std::size_t number, const runner::StartOrder &order)
+{
+    Host &host = m_hosts[number];
+    const Call &call = m_calls.at(order.id.task.job);
+    Running run;
+    run.room = call.spec.steps[0].room;
+    run.startedAt = m_now;
+    run.fails = host.fails;
+    const auto takes = std::chrono::duration_cast<Microseconds>(call.work[order.id.task.index]
+                                                                / host.speed);
+    run.doneAt = m_now + (run.fails ? Microseconds(1000) : takes);
+    host.runs[order.id] = run;
+    const auto how = run.fails ? jobs::RunEnd::Failed : jobs::RunEnd::Done;
+    at(run.doneAt, [this, number, id = order.id, how] {
+        const auto found = m_hosts[number].runs.find(id);
+        if (found != m_hosts[number].runs.end() && !found->second.stopping)
+            endRun(number, id, how);
+    });
+    at(m_now + OrderDelay, [this, number, id = order.id] {
+        carryOut(number,
+                 runner::startAnswered(m_hosts[number].state, id, { runner::Answer::Ok, clock() },
+                                       m_now));
+    });
+}
+
+void Rig::stop(std::size_t number, const runner::StopOrder &order)
+{
+    constexpr Milliseconds StopTakes { 50 };
+    const auto found = m_hosts[number].runs.find(order.id);
+    if (found != m_hosts[number].runs.end() && !found->second.stopping) {
+        found->second.stopping = true;
+        at(m_now + StopTakes,
+           [this, number, id = order.id] { endRun(number, id, jobs::RunEnd::Stopped); });
+    }
+    at(m_now + OrderDelay, [this, number, id = order.id] {
+        carryOut(number,
+                 runner::stopAnswered(m_hosts[number].state, id, { runner::Answer::Ok, clock() },
+                                      m_now));
+    });
+}
+
+void Rig::endRun(std::size_t number, const jobs::RunId &id, jobs::RunEnd how)
+{
+    Host &host = m_hosts[number];
+    host.runs.erase(id);
+    host.ended.push_back({ ++host.lastEnd, id, how });
+    answerLook(number);
+}
+
+void Rig::answerLook(std::size_t number)
+{
+    Host &host = m_hosts[number];
+    if (!host.look)
+        return;
+    const runner::LookOrder order = *host.look;
+    host.look.reset();
+    const auto seen = [&](const runner::EndedRow &row) { return row.number <= order.lastSeen; };
+    host.ended.erase(std::remove_if(host.ended.begin(), host.ended.end(), seen), host.ended.end());
+    runner::Look look;
+    look.answered = { runner::Answer::Ok, clock() };
+    for (const auto &[id, run] : host.runs) {
+        const double whole = static_cast<double>((run.doneAt - run.startedAt).count());
+        const double ran = static_cast<double>((m_now - run.startedAt).count());
+        look.running.push_back(
+                { id, static_cast<std::uint32_t>(100 * ran / std::max(1.0, whole)) });
+    }
+    look.ended = host.ended;
+    at(m_now + OrderDelay, [this, number, look, order = order.number] {
+        carryOut(number, runner::lookAnswered(m_hosts[number].state, order, look, m_now));
+    });
+}
+
+void Rig::strike(const EndpointTrouble &trouble, bool begins)
+{
+    const auto step = static_cast<std::size_t>(100 / std::max(1, trouble.percent));
+    const bool fails = trouble.kind == EndpointTrouble::Kind::Fails;
+    for (std::size_t i = fails ? 0 : step / 2; i < m_hosts.size(); i += step) {
+        (fails ? m_hosts[i].fails : m_hosts[i].outOfReach) = begins;
+        if (!fails && !begins) {
+            for (std::size_t entry = 0; entry < m_entries.size(); ++entry)
+                openSession(entry, i);
+        }
+    }
+}
+
+void Rig::cordon(const CordonSpan &span, bool begins)
+{
+    catalog::AgreedState agreed;
+    agreed.cordons = m_cordons;
+    catalog::apply(agreed,
+                   catalog::CordonOrder { centreName(span.dataCentre), begins,
+                                          m_cordons.revision });
+    m_cordons = agreed.cordons;
+    for (std::size_t host = 0; host < m_hosts.size(); ++host)
+        at(m_now + m_settings.farDelay, [this, host, cordons = m_cordons] {
+            carryOut(host,
+                     runner::cordonsHeard(m_hosts[host].state, cordons,
+                                          runner::CordonSource::Control, m_now));
+        });
+    for (std::size_t entry = 0; entry < m_entries.size(); ++entry)
+        at(m_now + m_settings.farDelay, [this, entry, cordons = m_cordons] {
+            carryOut(entry, scheduler::takeCordons(m_entries[entry].state, cordons, m_now));
+        });
+}
+
+// [SECTION] Report
+
+void Rig::sample()
+{
+    const bool waiting = std::any_of(m_entries.begin(), m_entries.end(),
+                                     [](const auto &entry) { return !entry.state.queue.empty(); });
+    for (const Host &host : m_hosts) {
+        if (!waiting || host.fails || host.outOfReach || runner::isCordoned(host.state))
+            continue;
+        jobs::Room free = host.capacity;
+        for (const auto &[id, run] : host.runs)
+            free -= run.room;
+        m_idle += static_cast<double>(free.milliCores);
+        m_room += static_cast<double>(host.capacity.milliCores);
+    }
+    if (m_now < m_end)
+        at(m_now + SampleInterval, [this] { sample(); });
+}
+
+double percentOf(std::uint64_t part, std::uint64_t whole)
+{
+    return 100.0 * static_cast<double>(part)
+            / static_cast<double>(std::max<std::uint64_t>(1, whole));
+}
+
+double medianMilliseconds(std::vector<Microseconds> spans)
+{
+    if (spans.empty())
+        return 0;
+    std::sort(spans.begin(), spans.end());
+    return toMilliseconds(spans[spans.size() / 2]);
+}
+
+} // namespace
+
+RigReport play(const RigSettings &settings)
+{
+    return Rig(settings).play();
+}
+
+std::string table(const std::vector<std::pair<std::string, RigReport>> &rows)
+{
+    std::string text = "| way | credit | starts a task | refused with room | idle while jobs wait |"
+                       " by queue: in aim, of the largest tenth, late, refused, failed, refused"
+                       " after (median) |\n| --- | --- | --- | --- | --- | --- |\n";
+    char line[256];
+    for (const auto &[name, report] : rows) {
+        std::snprintf(line, sizeof line, "| %s | %.2f %% | %.2f | %llu | %.1f %% |", name.c_str(),
+                      report.creditPercent, report.startsPerTask,
+                      static_cast<unsigned long long>(report.refusedWithRoom),
+                      report.idleWhileWaiting);
+        text += line;
+        for (const auto &[queue, one] : report.queues) {
+            std::snprintf(line, sizeof line,
+                          " %s: %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.0f ms;",
+                          queue.c_str(), percentOf(one.inAim, one.asked),
+                          percentOf(one.largeInAim, one.largeAsked), percentOf(one.late, one.asked),
+                          percentOf(one.refused, one.asked), percentOf(one.failed, one.asked),
+                          medianMilliseconds(one.refusedAfter));
+            text += line;
+        }
+        text += " |\n";
+    }
+    return text;
+}
+
+// [SECTION] Spells
+
+RigSettings busySpell(std::uint64_t seed)
+{
+    RigSettings settings;
+    settings.seed = seed;
+    settings.bursts = { { Milliseconds(1000), Milliseconds(5000), 1.25, "" },
+                        { Milliseconds(1500), Milliseconds(4500), 1.6, "long" } };
+    settings.troubles = {
+        { EndpointTrouble::Kind::Fails, Milliseconds(1500), Milliseconds(6000), 10 },
+        { EndpointTrouble::Kind::OutOfReach, Milliseconds(1000), Milliseconds(5000), 14 }
+    };
+    return settings;
+}
+
+RigSettings cordonedThird(std::uint64_t seed)
+{
+    RigSettings settings;
+    settings.seed = seed;
+    settings.length = Milliseconds(6000);
+    settings.cordons = { { Milliseconds(1000), Milliseconds(5000), 1 } };
+    return settings;
+}
+
+} // namespace foxwing::test
--- /dev/null
+++ b/tests/rig/rig.h
@@ -0,0 +1,162 @@
+/*
+    A load replay in virtual time: many entries and agents, three queues of jobs that come as
+   callers send them, and more work than room for a while. The decisions are those that the daemon
+   runs; links have a delay, endpoints differ in speed, some fail all that they start or are out of
+   reach.
+
+    The same settings and seed give the same report.
+
+        RigSettings settings;
+        settings.scheduler.order = scheduler::Order::FirstCome;
+        const RigReport report = play(settings);
+
+    [SECTION] Settings
+    [SECTION] Report
+    [SECTION] Functions
+*/
+#pragma once
+
+#include <map>
+
+#include <foxwing/runner/runner.h>
+#include <foxwing/scheduler/scheduler.h>
+
+namespace foxwing::test {
+
+// [SECTION] Settings
+
+// Jobs of one queue.
+struct QueueLoad
+{
+    std::string name;
+    std::uint32_t priority = 0;
+    std::uint32_t attempts = 4;
+    double perSecond = 0;
+
+    // Of a task at an endpoint of speed 1; of one job to the next with the spread below
+    Milliseconds work { 200 };
+
+    // Tasks of a job, with the spread below
+    double width = 2;
+    std::uint32_t mostWidth = 8;
+
+    // Credit of a job of mean size, for sums over queues
+    double credit = 1;
+};
+
+// More work than usual for a while.
+struct Burst
+{
+    Milliseconds from { 0 };
+    Milliseconds until { 0 };
+    double factor = 1;
+
+    // Of this queue alone; empty: of all
+    std::string queue;
+};
+
+// Endpoints that are of no use for a while.
+struct EndpointTrouble
+{
+    enum class Kind {
+        // All that they start fails at once.
+        Fails,
+
+        // Nobody reaches their agents.
+        OutOfReach,
+    };
+    Kind kind = Kind::Fails;
+    Milliseconds from { 0 };
+    Milliseconds until { 0 };
+
+    // Part of all endpoints, in percent
+    int percent = 10;
+};
+
+struct CordonSpan
+{
+    Milliseconds from { 0 };
+    Milliseconds until { 0 };
+    int dataCentre = 0;
+};
+
+struct RigSettings
+{
+    std::uint64_t seed = 1;
+
+    // By data centre
+    std::vector<int> entries { 4, 4, 3 };
+    std::vector<int> agents { 22, 22, 21 };
+    std::vector<double> callers { 0.32, 0.38, 0.30 };
+
+    // By turns
+    std::vector<double> speeds { 0.8, 1.0, 1.25 };
+    std::vector<std::int64_t> cores { 16000, 16000, 24000 };
+
+    std::vector<QueueLoad> queues {
+        { "short", 0, 2, 166, Milliseconds(60), 8, 32, 2.9 },
+        { "middle", 1, 4, 486, Milliseconds(200), 2, 8, 1 },
+        { "long", 2, 4, 66, Milliseconds(900), 4, 16, 16 },
+    };
+    Milliseconds length { 8000 };
+
+    // Between the entries' turns
+    Milliseconds tick { 20 };
+    std::vector<Burst> bursts;
+    std::vector<EndpointTrouble> troubles;
+    std::vector<CordonSpan> cordons;
+    Microseconds nearDelay { 200 };
+    Microseconds farDelay { 900 };
+    scheduler::SchedulerSettings scheduler;
+    runner::RunnerSettings runner;
+};
+
+// [SECTION] Report
+
+struct QueueReport
+{
+    std::uint64_t asked = 0;
+    std::uint64_t inAim = 0;
+    std::uint64_t late = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+
+    // The same of the tenth of jobs with most work
+    std::uint64_t largeAsked = 0;
+    std::uint64_t largeInAim = 0;
+
+    // From the call to its refusal
+    std::vector<Microseconds> refusedAfter;
+};
+
+struct RigReport
+{
+    std::map<std::string, QueueReport> queues;
+
+    // Credit of jobs on time, of all that was asked, in percent
+    double creditPercent = 0;
+
+    // Starts that were ordered for each task, refused ones included
+    double startsPerTask = 0;
+
+    // Refusals when an endpoint that could run a task of the job had room for it
+    std::uint64_t refusedWithRoom = 0;
+
+    // Room of sound endpoints that stood idle while jobs waited, in percent
+    double idleWhileWaiting = 0;
+};
+
+// [SECTION] Functions
+
+RigReport play(const RigSettings &settings);
+
+// Load that is above the room for 4 s, with endpoints that fail and others out of reach.
+RigSettings busySpell(std::uint64_t seed);
+
+// A third of the endpoints is cordoned for 4 s, at the usual load.
+RigSettings cordonedThird(std::uint64_t seed);
+
+// A table of the reports, a row each.
+std::string table(const std::vector<std::pair<std::string, RigReport>> &rows);
+
+} // namespace foxwing::test
--- /dev/null
+++ b/tests/rig/rig_test.cpp
@@ -0,0 +1,99 @@
+/*
+    What each way of deciding is worth under the load that it answers, on the load replay.
+
+    [SECTION] Helpers
+    [SECTION] Replay
+    [SECTION] Mechanisms
+    [SECTION] Cordons
+*/
+#include <functional>
+#include <gtest/gtest.h>
+
+#include "rig.h"
+
+namespace foxwing::test {
+namespace {
+
+// [SECTION] Helpers
+
+constexpr std::uint64_t Seeds = 3;
+
+// Credit of all seeds, in percent of what was asked.
+double creditOf(RigSettings (*spell)(std::uint64_t),
+                const std::function<void(RigSettings &)> &change)
+{
+    double sum = 0;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        RigSettings settings = spell(seed);
+        change(settings);
+        sum += play(settings).creditPercent;
+    }
+    return sum / Seeds;
+}
+
+void asItStands(RigSettings &) { }
+
+// [SECTION] Replay
+
+TEST(RigReplay, IsTheSameForTheSameSeed)
+{
+    const RigReport first = play(busySpell(7));
+    const RigReport second = play(busySpell(7));
+    EXPECT_EQ(table({ { "", first } }), table({ { "", second } }));
+    EXPECT_GT(first.queues.at("middle").refused, 0U);
+}
+
+// [SECTION] Mechanisms
+
+struct MechanismCase
+{
+    const char *name;
+    std::function<void(RigSettings &)> switchOff;
+
+    // Credit that is lost without it in the busy spell, in points of a hundred: at least half of
+    // what ten seeds have shown
+    double atLeast;
+};
+
+std::ostream &operator<<(std::ostream &out, const MechanismCase &tested)
+{
+    return out << tested.name;
+}
+
+class Mechanisms : public testing::TestWithParam<MechanismCase>
+{ };
+
+TEST_P(Mechanisms, EarnTheirPlaceInABusySpell)
+{
+    static const double standing = creditOf(busySpell, asItStands);
+    const double without = creditOf(busySpell, GetParam().switchOff);
+    EXPECT_GE(standing - without, GetParam().atLeast) << standing << " with it";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Rig, Mechanisms,
+        testing::Values(MechanismCase { "LateJobsAreRefused",
+                                        [](RigSettings &s) { s.scheduler.refuseLate = false; },
+                                        0.5 },
+                        MechanismCase { "TheMostUrgentWaitAtAgents",
+                                        [](RigSettings &s) { s.scheduler.waitPercent = 0; }, 0.5 },
+                        MechanismCase { "EndpointsAreJudged",
+                                        [](RigSettings &s) { s.runner.judgeEndpoint = false; },
+                                        0.5 },
+                        MechanismCase { "FasterEndpointsFirst",
+                                        [](RigSettings &s) {
+                                            s.scheduler.placement = scheduler::Placement::Random;
+                                        },
+                                        0.0 }),
+        [](const auto &tested) { return tested.param.name; });
+
+// [SECTION] Cordons
+
+// A third of the endpoints goes and comes back at the usual load: the rest carries it.
+TEST(RigCordon, LeavesTheUsualLoadServed)
+{
+    EXPECT_GE(creditOf(cordonedThird, asItStands), 99.0);
+}
+
+} // namespace
+} // namespace foxwing::test
