--- a/packages/catalog/include/foxwing/catalog/agreed.h
+++ b/packages/catalog/include/foxwing/catalog/agreed.h
@@ -1,7 +1,7 @@
 /*
     Everything that operators declare and the agreement group keeps: the catalog, and the data
-    centres that are cordoned. One state, changed by one kind of command, so that whoever joins late
-    or restarts gets all of it at once.
+    centres that are cordoned. One state, changed by the commands of one log, so that whoever joins
+    late or restarts gets all of it at once.
 
     The endpoints of a cordoned data centre get nothing new; what runs there ends by itself.
 
--- a/packages/fleet/src/agentshell.cpp
+++ b/packages/fleet/src/agentshell.cpp
@@ -291,7 +291,7 @@
     gauge("foxwing_sessions", "Entries in touch", count(m_runner.sessions.size()));
     gauge("foxwing_endpoint_pace", "Time taken against estimates", m_runner.pace);
     gauge("foxwing_endpoint_bad", "Evidence against the endpoint, 0 to 1", m_runner.bad);
-    gauge("foxwing_cordons_revision", "Cordons known here", m_runner.cordons.revision);
+    gauge("foxwing_cordons_revision", "Cordons known here", count(m_runner.cordons.revision));
     gauge("foxwing_cordoned", "Whether the endpoint gets nothing new, by a cordon",
           runner::isCordoned(m_runner) ? 1 : 0);
     gauge("foxwing_control_hosts", "Control hosts in touch", count(m_control.connected()));
--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -65,12 +65,13 @@
 private:
     // Callers
     void handleCaller(const ExchangePtr &exchange);
-    void serveCaller(const ExchangePtr &exchange, Time cameAt);
+    // heldSince: when a call came that was held until the queues were known
+    void serveCaller(const ExchangePtr &exchange, std::optional<Time> heldSince);
     void refuseHeld(Time now);
     void serveHeld();
     void handleReadiness(const ExchangePtr &exchange);
     void submit(const ExchangePtr &exchange, const CallerCall &call,
-                const catalog::QueueDeclaration &queue, Time cameAt);
+                const catalog::QueueDeclaration &queue, std::optional<Time> heldSince);
     void refuse(const ExchangePtr &exchange, CallerRefusal refusal, const std::string &reason);
     void callerGone(std::uint64_t number, const ExchangePtr &exchange);
     bool ready() const;
@@ -168,7 +169,7 @@
     const Time now = steadyNow();
     checkPause(now);
     if (m_catalog.version > 0)
-        return serveCaller(exchange, now);
+        return serveCaller(exchange, std::nullopt);
     if (!hold(m_held, exchange, now))
         refuse(exchange, CallerRefusal::NotConfigured, "no catalog has come yet");
 }
@@ -193,7 +194,7 @@
     }
 }
 
-void EntryShell::serveCaller(const ExchangePtr &exchange, Time cameAt)
+void EntryShell::serveCaller(const ExchangePtr &exchange, std::optional<Time> heldSince)
 {
     const CallerCall call = m_dialect.readCall(exchange->request());
     const catalog::QueueDeclaration *queue = catalog::findQueue(m_catalog, call.host, call.path);
@@ -203,7 +204,7 @@
     }
     switch (call.wish) {
     case CallerWish::Submit:
-        return submit(exchange, call, *queue, cameAt);
+        return submit(exchange, call, *queue, heldSince);
     case CallerWish::AskWaiting:
         // Jobs that are answered when they end are in nobody's count.
         return exchange->answer(m_dialect.writeWaiting(0));
@@ -217,7 +218,7 @@
 }
 
 void EntryShell::submit(const ExchangePtr &exchange, const CallerCall &call,
-                        const catalog::QueueDeclaration &queue, Time cameAt)
+                        const catalog::QueueDeclaration &queue, std::optional<Time> heldSince)
 {
     Error reason;
     const auto spec = m_dialect.readJob(exchange->request(), call.path.substr(queue.prefix.size()),
@@ -234,7 +235,8 @@
     terms.attempts = queue.attempts;
     terms.stretch = std::clamp(queue.stretch, 0.0, MostStretch);
     terms.targetLatency = queue.targetLatency;
-    terms.cameAt = cameAt;
+    const Time cameAt = heldSince.value_or(now);
+    terms.cameAt = heldSince;
     terms.beginBy = cameAt + queue.timeout;
     if (call.patience)
         terms.patienceUntil = cameAt + *call.patience;
--- a/packages/fleet/src/operatorshell.cpp
+++ b/packages/fleet/src/operatorshell.cpp
@@ -91,6 +91,12 @@
 
 void OperatorShell::operatorGone(std::uint64_t number)
 {
+    const auto call = m_operators.calls.find(number);
+    if (call != m_operators.calls.end())
+        writeEvent(m_core.log,
+                   change("operator-gone")
+                           .with("call", operators::toString(call->second.request))
+                           .with("waited_ms", steadyNow() - call->second.cameAt));
     operators::dropCall(m_operators, number);
     m_origins.erase(number);
 }
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -180,7 +180,7 @@
     double stretch = 1.0;
     Milliseconds targetLatency { 0 };
 
-    // When the call came, if it has waited before it was submitted: its objective counts from then.
+    // When the call came, if it was held before it was submitted: its objective counts from then.
     std::optional<Time> cameAt;
 
     // What is not begun by then is given up.
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -148,6 +148,13 @@
     return !any;
 }
 
+// Whether a call that waited before it was submitted has lost its time by that. One whose queue
+// leaves it no time from the start has lost nothing, and is tried like any other.
+bool heldTooLong(const Job &job, Time now)
+{
+    return job.terms.cameAt && job.latestBegin > job.arrivedAt && now > job.latestBegin;
+}
+
 // Why a job is not taken; empty if it is.
 std::string refusal(const SchedulerState &scheduler, const Job &job, Time now)
 {
@@ -159,7 +166,7 @@
     const std::uint64_t tasks = taskCount(job.spec);
     if (tasks == 0 || tasks > scheduler.settings.mostTasksPerJob)
         return "a job needs at least one task, and at most the number in the settings";
-    if (job.arrivedAt < now && now > job.latestBegin && scheduler.settings.refuseLate)
+    if (heldTooLong(job, now) && scheduler.settings.refuseLate)
         return "it waited too long for the queues to be known";
     const Microseconds wait = expectedWait(scheduler, job);
     const Microseconds objective = job.objectiveAt - job.arrivedAt;
--- a/packages/scheduler/tests/admission_test.cpp
+++ b/packages/scheduler/tests/admission_test.cpp
@@ -182,5 +182,25 @@
                                          HeldCase { "TooLong", Milliseconds(121), false }),
                          [](const auto &tested) { return tested.param.name; });
 
+// A queue that allows its jobs no more than their work: each is late from its first moment. It is
+// tried all the same, and a call that was on its way for a millisecond is not a held one.
+TEST(HeldJob, OfAQueueWithoutSlackIsTried)
+{
+    Bench bench({ 4000 });
+    jobs::JobSpec spec;
+    spec.id = "job";
+    spec.traits = bench.traits;
+    jobs::StepSpec step;
+    step.tasks = 1;
+    step.room = { 1000, 10, 0 };
+    step.estimate = Milliseconds(100);
+    spec.steps = { step };
+    JobTerms terms = bench.terms();
+    terms.stretch = 1.0;
+    terms.targetLatency = Milliseconds(0);
+    terms.cameAt = bench.now - Milliseconds(1);
+    EXPECT_EQ(startsIn(submit(bench.scheduler, spec, terms, bench.now, &bench.number)), 1U);
+}
+
 } // namespace
 } // namespace foxwing::scheduler
