Split the world of the fleet schedules

Change: worldparts.h (spans and processes that its files share), world.cpp (callers, entries, agents), worldfaults.cpp (control, faults, promises).

--- /dev/null
+++ b/tests/fleet/worldfaults.cpp
@@ -0,0 +1,232 @@
+/*
+    What befalls the fleet in virtual time, and what must hold all the same.
+
+    [SECTION] Control
+    [SECTION] Faults
+    [SECTION] Promises
+*/
+#include "worldparts.h"
+
+namespace foxwing::test {
+
+// [SECTION] Control
+
+std::string World::dataCentreOf(int agent) const
+{
+    return nameOf("dc", agent % DataCentres);
+}
+
+void World::changeCordon(const std::string &dataCentre, bool cordoned)
+{
+    // Without control nothing is agreed on: the operator goes on asking.
+    if (m_now < m_controlAwayUntil)
+        return at(m_controlAwayUntil,
+                  [this, dataCentre, cordoned] { changeCordon(dataCentre, cordoned); });
+    catalog::AgreedState state;
+    state.cordons = m_cordons;
+    const catalog::CordonOrder order { dataCentre, cordoned, m_cordons.revision };
+    if (catalog::apply(state, order) != catalog::Applied::Changed)
+        return;
+    m_cordons = state.cordons;
+    if (cordoned)
+        m_cordonedSince[dataCentre] = m_now;
+    else
+        m_cordonedSince.erase(dataCentre);
+    for (int i = 0; i < m_settings.agents; ++i)
+        tellAgent(i);
+    for (int i = 0; i < m_settings.entries; ++i)
+        tellEntry(i);
+}
+
+// A process is told what is agreed when the news reaches it, or once control is back.
+void World::tellAgent(int number)
+{
+    Agent &agent = *m_agents[static_cast<std::size_t>(number)];
+    std::uniform_int_distribution<std::int64_t> way(1, LongestNews.count());
+    on(agent, Milliseconds(way(m_random)), [this, number] {
+        Agent &told = *m_agents[static_cast<std::size_t>(number)];
+        const Time reachable = std::max(m_controlAwayUntil, told.cutUntil);
+        if (m_now < reachable)
+            return on(told, std::chrono::ceil<Milliseconds>(reachable - m_now),
+                      [this, number] { tellAgent(number); });
+        carryOut(number,
+                 runner::cordonsHeard(told.state, m_cordons, runner::CordonSource::Control, m_now));
+    });
+}
+
+void World::tellEntry(int number)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    std::uniform_int_distribution<std::int64_t> way(1, LongestNews.count());
+    on(entry, Milliseconds(way(m_random)), [this, number] {
+        Entry &told = *m_entries[static_cast<std::size_t>(number)];
+        if (m_now < m_controlAwayUntil)
+            return on(told, std::chrono::ceil<Milliseconds>(m_controlAwayUntil - m_now),
+                      [this, number] { tellEntry(number); });
+        told.knowsCordons = true;
+        carryOut(number, scheduler::takeCordons(told.state, m_cordons, m_now));
+    });
+}
+
+// A task began at the agent's endpoint.
+void World::noteStart(int agent)
+{
+    const auto since = m_cordonedSince.find(dataCentreOf(agent));
+    if (since != m_cordonedSince.end() && m_now > since->second + CordonBound)
+        violate(m_outcome.startsCordoned, "a start in cordoned " + since->first);
+}
+
+// [SECTION] Faults
+
+void World::drawFaults()
+{
+    if (m_settings.faults.empty())
+        return;
+    std::uniform_int_distribution<int> count(1, m_settings.mostFaults);
+    std::uniform_int_distribution<std::size_t> kind(0, m_settings.faults.size() - 1);
+    std::uniform_int_distribution<std::int64_t> when(2500, m_settings.length.count());
+    for (int i = count(m_random); i > 0; --i) {
+        const Fault fault = m_settings.faults[kind(m_random)];
+        at(m_now + Milliseconds(when(m_random)), [this, fault] { strike(fault); });
+    }
+}
+
+void World::strike(Fault fault)
+{
+    std::uniform_int_distribution<std::size_t> anyEntry(0, m_entries.size() - 1);
+    std::uniform_int_distribution<std::size_t> anyAgent(0, m_agents.size() - 1);
+    std::uniform_int_distribution<int> span(200, 4000);
+    const std::size_t entryNumber = anyEntry(m_random);
+    const std::size_t agentNumber = anyAgent(m_random);
+    Entry &entry = *m_entries[entryNumber];
+    Agent &agent = *m_agents[agentNumber];
+    const Milliseconds lasts(span(m_random));
+    const auto later = [&](auto job) { at(m_now + lasts, job); };
+    switch (fault) {
+    case Fault::EntryKill:
+        if (!entry.up)
+            return;
+        entry.up = false;
+        for (int i = 0; i < m_settings.agents; ++i) {
+            Session &session = entry.sessions[static_cast<std::size_t>(i)];
+            // Half of the kills are losses of power, of which the agent is told nothing.
+            if (session.open && lasts.count() % 2 == 0)
+                on(*m_agents[static_cast<std::size_t>(i)], LinkDelay,
+                   [this, i, id = session.number] {
+                       Agent &told = *m_agents[static_cast<std::size_t>(i)];
+                       carryOut(i, runner::closeSession(told.state, id, m_now));
+                   });
+            session.open = false;
+        }
+        for (const auto &[number, call] : std::map<std::uint64_t, std::uint64_t>(entry.calls))
+            callerLost(call);
+        restartEntry(static_cast<int>(entryNumber), lasts);
+        break;
+    case Fault::EntryFreeze:
+        entry.frozenUntil = m_now + lasts;
+        break;
+    case Fault::AgentKill:
+        if (!agent.up)
+            return;
+        for (int i = 0; i < m_settings.entries; ++i)
+            disconnect(i, static_cast<int>(agentNumber));
+        agent.up = false;
+        restartAgent(static_cast<int>(agentNumber), lasts);
+        break;
+    case Fault::AgentFreeze:
+        agent.frozenUntil = m_now + lasts;
+        break;
+    case Fault::Cut:
+        agent.cutUntil = m_now + lasts;
+        break;
+    case Fault::LateOrders:
+        agent.lateUntil = m_now + lasts;
+        break;
+    case Fault::EndpointCrash:
+        agent.endpoint->crash("life-" + std::to_string(++m_lastLife));
+        break;
+    case Fault::EndpointDark:
+        agent.dark = true;
+        later([this, agentNumber] { m_agents[agentNumber]->dark = false; });
+        break;
+    case Fault::EndpointHang:
+        agent.endpoint->hangs = true;
+        later([this, agentNumber] { m_agents[agentNumber]->endpoint->hangs = false; });
+        break;
+    case Fault::EndpointSlow:
+        agent.endpoint->slowness = 6;
+        later([this, agentNumber] { m_agents[agentNumber]->endpoint->slowness = 1; });
+        break;
+    case Fault::EndpointFails:
+        agent.endpoint->failsAll = true;
+        later([this, agentNumber] { m_agents[agentNumber]->endpoint->failsAll = false; });
+        break;
+    case Fault::CallerLeaves:
+        callerGoes(static_cast<int>(entryNumber), true);
+        break;
+    case Fault::CallerCancels:
+        callerGoes(static_cast<int>(entryNumber), false);
+        break;
+    case Fault::Cordon:
+        changeCordon(dataCentreOf(static_cast<int>(agentNumber)), true);
+        later([this, agentNumber] {
+            changeCordon(dataCentreOf(static_cast<int>(agentNumber)), false);
+        });
+        break;
+    case Fault::ControlAway:
+        m_controlAwayUntil = std::max(m_controlAwayUntil, m_now + lasts);
+        break;
+    }
+}
+
+// The connection of one caller is reset. One that comes back sends the job again, to any entry.
+void World::callerGoes(int number, bool comesBack)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    if (!entry.up || entry.calls.empty())
+        return;
+    on(entry, LinkDelay, [this, number, comesBack, job = entry.calls.begin()->first] {
+        Entry &left = *m_entries[static_cast<std::size_t>(number)];
+        const auto call = left.calls.find(job);
+        if (call == left.calls.end())
+            return;
+        const std::uint64_t lost = call->second;
+        left.calls.erase(call);
+        carryOut(number, scheduler::abandon(left.state, job, m_now));
+        if (comesBack)
+            callerLost(lost);
+        else
+            closeCall(lost);
+    });
+}
+
+// [SECTION] Promises
+
+void World::violate(std::uint64_t &counter, const std::string &what)
+{
+    ++counter;
+    if (m_outcome.firstViolation.empty())
+        m_outcome.firstViolation = what + " at "
+                + std::to_string(m_now.time_since_epoch().count() / 1000 - 1000000) + " ms";
+}
+
+void World::check()
+{
+    std::set<jobs::TaskId> running;
+    for (const auto &agent : m_agents) {
+        agent->endpoint->advance(m_now);
+        jobs::Room used;
+        for (const auto &[id, run] : agent->endpoint->runs()) {
+            used += m_specs.at(id.task.job).steps[id.task.step].room;
+            if (!running.insert(id.task).second)
+                violate(m_outcome.runsOverlapped, "two runs of " + id.task.job);
+            const std::string &job = id.task.job;
+            if (m_callers[job] == 0 && m_now > m_unwantedSince[job] + UnwantedRunBound)
+                violate(m_outcome.runsUnwanted, "nobody waits for " + job);
+        }
+        if (!jobs::fits(used, Capacity))
+            violate(m_outcome.roomExceeded, "room exceeded at " + agent->endpoint->life);
+    }
+}
+
+} // namespace foxwing::test
--- /dev/null
+++ b/tests/fleet/worldparts.h
@@ -0,0 +1,89 @@
+/*
+    Inside the fleet in virtual time: what its files share.
+
+    [SECTION] Spans
+    [SECTION] Processes
+*/
+#pragma once
+
+#include "world.h"
+
+namespace foxwing::test {
+
+// [SECTION] Spans
+
+constexpr Milliseconds LinkDelay { 1 };
+constexpr Milliseconds OrderDelay { 1 };
+constexpr Milliseconds OrderTimeout { 60 };
+constexpr Milliseconds TickInterval { 20 };
+constexpr Milliseconds BeatInterval { 1500 };
+constexpr Milliseconds ResendAfter { 1300 };
+
+// Within it a run ends whose job nobody waits for: the entry is silent for 450 ms, then the lease
+// ends after 400 ms and 2 percent, and a stop takes 50 ms; less than after which a caller that lost
+// its entry sends the job again.
+constexpr Milliseconds UnwantedRunBound { 1300 };
+
+// From a change of the cordons until all who are in touch with control know it: the longest way of
+// the news, and a lease of the endpoint for starts that were ordered before.
+constexpr Milliseconds LongestNews { 50 };
+constexpr Milliseconds CordonBound { 500 };
+constexpr int DataCentres = 2;
+inline const jobs::Room Capacity { 16000, 65536, 0 };
+
+// Work after the last job came, so that every answer is out.
+constexpr Milliseconds Tail { 20000 };
+
+inline std::string nameOf(const char *kind, int number)
+{
+    return std::string(kind) + "-" + std::to_string(number);
+}
+
+// [SECTION] Processes
+
+// Something that can be killed or stand still; what is for a killed life of it is dropped, what
+// comes while it stands still is done when it goes on.
+struct World::Process
+{
+    bool up = false;
+    std::uint64_t life = 0;
+    Time frozenUntil {};
+};
+
+struct World::Session
+{
+    std::uint64_t number = 0;
+    bool open = false;
+};
+
+struct World::Entry : World::Process
+{
+    scheduler::SchedulerState state;
+    Time lastTurn {};
+    bool knowsCordons = false;
+
+    // To each agent
+    std::vector<Session> sessions;
+    std::map<std::uint64_t, std::uint64_t> calls;
+};
+
+struct World::Agent : World::Process
+{
+    runner::RunnerState state;
+    std::unique_ptr<FakeEndpoint> endpoint;
+    bool dark = false;
+    Time lateUntil {};
+    Time cutUntil {};
+    std::uint64_t beats = 0;
+};
+
+struct World::Call
+{
+    jobs::JobSpec spec;
+    int entry = 0;
+
+    // Sent before, to an entry that was lost: what began there does not speak against this one.
+    bool resent = false;
+};
+
+} // namespace foxwing::test
