Log heartbeats that an agent passes over; show how long runs hold room

Cause: an agent that takes a heartbeat for an old one answers 200 and wrote nothing, so a leaving endpoint that went unheard left no trace; and nothing told room held by runs that are over from room in use.

Change: heartbeat-passed-over (why, sequence, born, whether it said leaving, against what is known) in place of late-heartbeat, which came for former lives only; a counter of them; foxwing_oldest_run_ms and foxwing_last_end_noted. The date at which an endpoint's life began is read from heartbeats and lists of runs and logged.

--- a/packages/fleet/src/agentshell.cpp
+++ b/packages/fleet/src/agentshell.cpp
@@ -279,6 +279,8 @@
         { "foxwing_starts_refused_total", "Starts that never began", count(m_runner.refused) },
         { "foxwing_orders_unanswered_total", "Starts without an answer",
           count(m_runner.unanswered) },
+        { "foxwing_heartbeats_passed_over_total", "Heartbeats that changed nothing",
+          count(m_runner.heartbeatsPassedOver) },
         { "foxwing_endpoint_connections_total", "Connections opened to the endpoint",
           count(m_endpoint.opened()) },
     };
@@ -286,6 +288,10 @@
         samples.push_back({ name, help, value, true });
     };
     gauge("foxwing_runs", "Runs that take room", count(m_runner.runs.size()));
+    gauge("foxwing_oldest_run_ms", "How long the run ordered first has been taking room",
+          toMilliseconds(runner::oldestRun(m_runner, steadyNow())));
+    gauge("foxwing_last_end_noted", "Number of the endpoint's last end that was taken note of",
+          count(m_runner.lastSeen));
     gauge("foxwing_starts_waiting", "Starts that wait here for room",
           count(m_runner.waiting.size()));
     gauge("foxwing_sessions", "Entries in touch", count(m_runner.sessions.size()));
--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -216,12 +216,18 @@
     Answered answered;
     std::vector<RunningRow> running;
     std::vector<EndedRow> ended;
+
+    // When the endpoint that answered began, by its own date
+    std::optional<WallTime> born;
 };
 
 // What the endpoint says of itself in a heartbeat.
 struct EndpointReport
 {
     std::string life;
+
+    // When it began, by its own date
+    std::optional<WallTime> born;
     std::string service;
     std::string dataCentre;
     std::vector<std::string> labels;
@@ -387,6 +393,7 @@
     std::uint64_t stopped = 0;
     std::uint64_t refused = 0;
     std::uint64_t unanswered = 0;
+    std::uint64_t heartbeatsPassedOver = 0;
 };
 
 struct RunnerActions
@@ -445,6 +452,9 @@
 RunnerActions stopAll(RunnerState &runner, Time now);
 bool finished(const RunnerState &runner);
 
+// How long the run that was ordered first has been taking room; zero if none is.
+Microseconds oldestRun(const RunnerState &runner, Time now);
+
 // What an entry may count on.
 jobs::EndpointView viewOf(const RunnerState &runner, Time now);
 
--- a/packages/runner/src/answers.cpp
+++ b/packages/runner/src/answers.cpp
@@ -130,7 +130,8 @@
 }
 
 // Runs that another life of this agent has left behind.
-void stopOrphans(RunnerState &runner, const std::set<RunId> &seen, RunnerActions &actions)
+void stopOrphans(RunnerState &runner, const std::set<RunId> &seen,
+                 const std::optional<WallTime> &born, RunnerActions &actions)
 {
     for (const RunId &id : seen) {
         if (runner.orphans.insert(id).second)
@@ -140,7 +141,9 @@
     runner.orphans = seen;
     const bool clean = seen.empty();
     if (clean && !runner.clean)
-        actions.events.push_back(change("endpoint-clean").with("life", runner.endpoint.life));
+        actions.events.push_back(change("endpoint-clean")
+                                         .with("life", runner.endpoint.life)
+                                         .with("born_ms", bornField(born)));
     if (clean != runner.clean)
         ++runner.viewNumber;
     runner.clean = clean;
@@ -170,7 +173,7 @@
     }
     for (const auto &[id, end] : gone)
         endRun(runner, id, end, RefusedStart::Endpoint, now, actions);
-    stopOrphans(runner, orphans, actions);
+    stopOrphans(runner, orphans, look.born, actions);
 }
 
 // The pause between failed looks grows up to this many times the first.
--- a/packages/runner/src/internal.h
+++ b/packages/runner/src/internal.h
@@ -51,6 +51,9 @@
 // A log line about one run.
 eventlog::Event runEvent(const char *name, const jobs::RunId &id);
 
+// The same for a life's date, in milliseconds since 1970; 0 if the endpoint did not say.
+std::int64_t bornField(const std::optional<WallTime> &born);
+
 // Orders the start once more, or for the first time. Needs a lease deadline.
 void orderStart(RunnerState &runner, const jobs::RunId &id, Run &run, Time now,
                 RunnerActions &actions);
--- a/packages/runner/src/offer.cpp
+++ b/packages/runner/src/offer.cpp
@@ -55,6 +55,14 @@
     return free;
 }
 
+Microseconds oldestRun(const RunnerState &runner, Time now)
+{
+    Microseconds oldest { 0 };
+    for (const auto &[id, run] : runner.runs)
+        oldest = std::max(oldest, now - run.orderedAt);
+    return oldest;
+}
+
 std::uint32_t mostStarts(const RunnerState &runner, Time now)
 {
     // An entry must not be told of room while every start would be refused: it would send again
--- a/packages/runner/src/runner.cpp
+++ b/packages/runner/src/runner.cpp
@@ -72,6 +72,11 @@
             .with("run", id.run);
 }
 
+std::int64_t bornField(const std::optional<WallTime> &born)
+{
+    return born ? born->time_since_epoch().count() : 0;
+}
+
 namespace {
 
 void countEnd(RunnerState &runner, RunEnd end)
@@ -179,7 +184,9 @@
 {
     actions.events.push_back(change("endpoint-life")
                                      .with("life", report.life)
+                                     .with("born_ms", bornField(report.born))
                                      .with("before", runner.endpoint.life)
+                                     .with("before_born_ms", bornField(runner.endpoint.born))
                                      .with("service", report.service));
     endAll(runner, RunEnd::Lost, "another life of the endpoint", now, actions);
     if (!runner.endpoint.life.empty())
@@ -199,6 +206,23 @@
     runner.nextLook = now;
 }
 
+// A heartbeat that changes nothing: without its line, one that was wrongly taken for an old one
+// leaves no trace, though the endpoint was told that it had been heard.
+void passOver(RunnerState &runner, const EndpointReport &report, const char *why,
+              RunnerActions &actions)
+{
+    ++runner.heartbeatsPassedOver;
+    actions.events.push_back(change("heartbeat-passed-over")
+                                     .with("why", why)
+                                     .with("life", report.life)
+                                     .with("born_ms", bornField(report.born))
+                                     .with("sequence", report.sequence)
+                                     .with("leaving", report.leaving ? 1 : 0)
+                                     .with("present", runner.endpoint.life)
+                                     .with("present_born_ms", bornField(runner.endpoint.born))
+                                     .with("present_sequence", runner.endpoint.sequence));
+}
+
 bool sameView(const EndpointReport &left, const EndpointReport &right)
 {
     return left.life == right.life && left.leaving == right.leaving && left.labels == right.labels
@@ -210,14 +234,13 @@
 RunnerActions endpointHeard(RunnerState &runner, const EndpointReport &report, Time now)
 {
     RunnerActions actions;
-    if (report.life == runner.endpoint.life && report.sequence < runner.endpoint.sequence)
+    if (report.life == runner.endpoint.life && report.sequence < runner.endpoint.sequence) {
+        passOver(runner, report, "older than the last one heard", actions);
         return actions;
+    }
     const std::deque<std::string> &former = runner.formerLives;
     if (std::find(former.begin(), former.end(), report.life) != former.end()) {
-        actions.events.push_back(Event("late-heartbeat")
-                                         .with("life", report.life)
-                                         .with("present", runner.endpoint.life)
-                                         .with("sequence", report.sequence));
+        passOver(runner, report, "of a former life", actions);
         return actions;
     }
     if (report.life != runner.endpoint.life)
--- a/packages/runner/tests/starting_test.cpp
+++ b/packages/runner/tests/starting_test.cpp
@@ -313,7 +313,9 @@
     EndpointReport report = makeReport("life-1", 1);
     report.dataCentre = "north";
     endpointHeard(runner, report, now);
-    lookAnswered(runner, runner.lookNumber, { { Answer::Ok, Milliseconds(50000) }, {}, {} }, now);
+    Look look;
+    look.answered = { Answer::Ok, Milliseconds(50000) };
+    lookAnswered(runner, runner.lookNumber, look, now);
     for (const auto &[cordons, source] : GetParam().heard)
         cordonsHeard(runner, cordons, source, now);
     now += GetParam().after;
