Failing tests: an endpoint that begins again under its id

Cause, as far as the tests show it: a life of an endpoint is known by its id alone, so counts of the life before are held against the next one.

The schedules check two more promises on every row: no start half a second after an agent has acknowledged that its endpoint leaves, and no room held for 2 s for a run that is over.

--- a/packages/runner/tests/bench.h
+++ b/packages/runner/tests/bench.h
@@ -42,6 +42,23 @@
     return report;
 }
 
+// The same of a life that tells when it began, in milliseconds since 1970.
+inline EndpointReport makeReport(const std::string &life, std::int64_t born, std::uint64_t sequence)
+{
+    EndpointReport report = makeReport(life, sequence);
+    report.born = WallTime(Milliseconds(born));
+    return report;
+}
+
+// What a look at that life shows: nothing runs there, unless the test adds it.
+inline Look makeLook(std::int64_t born, Milliseconds clock)
+{
+    Look look;
+    look.answered = { Answer::Ok, clock };
+    look.born = WallTime(Milliseconds(born));
+    return look;
+}
+
 // [SECTION] Bench
 
 struct Bench
--- a/tests/fleet/endpoint.cpp
+++ b/tests/fleet/endpoint.cpp
@@ -54,6 +54,20 @@
 void FakeEndpoint::crash(std::string nextLife)
 {
     life = std::move(nextLife);
+    forgetAll();
+}
+
+void FakeEndpoint::beginAgain(Time now)
+{
+    forgetAll();
+    born += Milliseconds(1);
+    m_offset -= clock(now);
+}
+
+void FakeEndpoint::forgetAll()
+{
+    beats = 0;
+    leaving = false;
     m_runs.clear();
     m_ended.clear();
     m_highestEnded.clear();
@@ -124,6 +138,7 @@
     const auto seen = [&](const runner::EndedRow &row) { return row.number <= order.lastSeen; };
     m_ended.erase(std::remove_if(m_ended.begin(), m_ended.end(), seen), m_ended.end());
     look.answered = { Answer::Ok, clock(now) };
+    look.born = born;
     for (const auto &[id, run] : m_runs) {
         const double whole = static_cast<double>((run.doneAt - run.startedAt).count());
         const double ran = static_cast<double>((now - run.startedAt).count());
--- a/tests/fleet/endpoint.h
+++ b/tests/fleet/endpoint.h
@@ -45,9 +45,17 @@
 
     // Every run that works now, a stopping one included.
     const std::map<jobs::RunId, EndpointRun> &runs() const { return m_runs; }
+
+    // Ends what runs; the next life has another name, or the same one and all counts anew.
     void crash(std::string nextLife);
+    void beginAgain(Time now);
 
     std::string life;
+    WallTime born { Milliseconds(1'700'000'000'000) };
+
+    // Heartbeats of this life
+    std::uint64_t beats = 0;
+    bool leaving = false;
 
     // Runs that begin from now on never get on.
     bool hangs = false;
@@ -55,6 +63,7 @@
     double slowness = 1.0;
 
 private:
+    void forgetAll();
     void end(const jobs::RunId &id, jobs::RunEnd how);
     std::optional<runner::Answer> refuse(const std::string &lifeWanted, std::uint64_t fence);
 
--- a/tests/fleet/world.cpp
+++ b/tests/fleet/world.cpp
@@ -313,6 +313,7 @@
         // Without a disk a new life can only guess a higher fence; the endpoint corrects it.
         m_lastFence += m_settings.fenceRises ? 1000 : 0;
         agent.state = runner::makeRunner(m_settings.runner, agent.life, m_lastFence);
+        agent.toldLeavingAt.reset();
         tellAgent(number);
         beat(number);
         tickAgent(number);
@@ -327,19 +328,30 @@
 }
 
 void World::beat(int number)
+{
+    report(number);
+    on(*m_agents[static_cast<std::size_t>(number)], BeatInterval, [this, number] { beat(number); });
+}
+
+// One heartbeat, which the agent acknowledges.
+void World::report(int number)
 {
     Agent &agent = *m_agents[static_cast<std::size_t>(number)];
-    if (!agent.dark) {
-        runner::EndpointReport report;
-        report.life = agent.endpoint->life;
-        report.service = "service";
-        report.dataCentre = m_settings.agentsIgnoreCordons ? "" : dataCentreOf(number);
-        report.capacity = Capacity;
-        report.sequence = ++agent.beats;
-        report.clock = agent.endpoint->clock(m_now);
-        carryOut(number, runner::endpointHeard(agent.state, report, m_now));
-    }
-    on(agent, BeatInterval, [this, number] { beat(number); });
+    FakeEndpoint &endpoint = *agent.endpoint;
+    if (agent.dark)
+        return;
+    runner::EndpointReport report;
+    report.life = endpoint.life;
+    report.born = endpoint.born;
+    report.service = "service";
+    report.dataCentre = m_settings.agentsIgnoreCordons ? "" : dataCentreOf(number);
+    report.capacity = Capacity;
+    report.sequence = ++endpoint.beats;
+    report.clock = endpoint.clock(m_now);
+    report.leaving = endpoint.leaving;
+    carryOut(number, runner::endpointHeard(agent.state, report, m_now));
+    if (endpoint.leaving && !agent.toldLeavingAt)
+        agent.toldLeavingAt = m_now;
 }
 
 // An order goes out, may be done late and unanswered, and is answered once.
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -46,6 +46,12 @@
 
     // Control tells nobody anything, and agrees on nothing.
     ControlAway,
+
+    // An endpoint crashes and begins again under its name, with all counts and its clock anew.
+    EndpointAgain,
+
+    // It says that it leaves, serves on for a while, and begins again.
+    EndpointLeaves,
 };
 
 // Drawn together as "all": those after which every job is sent again until it is answered
@@ -96,6 +102,12 @@
 
     // Starts in a data centre that had been cordoned for longer than the news of it takes
     std::uint64_t startsCordoned = 0;
+
+    // Starts at an endpoint long after its agent had acknowledged that it leaves
+    std::uint64_t startsLeaving = 0;
+
+    // Runs for which an agent held room long after they were over
+    std::uint64_t runsHeld = 0;
     std::string firstViolation;
 };
 
@@ -136,6 +148,7 @@
     template<class Order, class Do, class Answered>
     void order(int agent, const Order &order, Milliseconds wait, Do run, Answered back);
     void beat(int agent);
+    void report(int agent);
 
     // Control, which knows the cordons
     std::string dataCentreOf(int agent) const;
@@ -148,7 +161,9 @@
     void strike(Fault fault);
     void restartEntry(int entry, Milliseconds after);
     void restartAgent(int agent, Milliseconds after);
+    void endpointBeginsAgain(int agent);
     void check();
+    void checkHeldRuns(Agent &agent);
     void violate(std::uint64_t &counter, const std::string &what);
 
     WorldSettings m_settings;
--- a/tests/fleet/worldfaults.cpp
+++ b/tests/fleet/worldfaults.cpp
@@ -74,6 +74,10 @@
     const auto since = m_cordonedSince.find(dataCentreOf(agent));
     if (since != m_cordonedSince.end() && m_now > since->second + CordonBound)
         violate(m_outcome.startsCordoned, "a start in cordoned " + since->first);
+    const Agent &starter = *m_agents[static_cast<std::size_t>(agent)];
+    if (starter.endpoint->leaving && starter.toldLeavingAt
+        && m_now > *starter.toldLeavingAt + LeavingBound)
+        violate(m_outcome.startsLeaving, "a start at leaving " + starter.endpoint->life);
 }
 
 // [SECTION] Faults
@@ -145,6 +149,14 @@
     case Fault::EndpointCrash:
         agent.endpoint->crash("life-" + std::to_string(++m_lastLife));
         break;
+    case Fault::EndpointAgain:
+        endpointBeginsAgain(static_cast<int>(agentNumber));
+        break;
+    case Fault::EndpointLeaves:
+        agent.endpoint->leaving = true;
+        on(agent, Milliseconds(0), [this, agentNumber] { report(static_cast<int>(agentNumber)); });
+        later([this, agentNumber] { endpointBeginsAgain(static_cast<int>(agentNumber)); });
+        break;
     case Fault::EndpointDark:
         agent.dark = true;
         later([this, agentNumber] { m_agents[agentNumber]->dark = false; });
@@ -179,6 +191,15 @@
     }
 }
 
+// Its first heartbeat comes at once.
+void World::endpointBeginsAgain(int number)
+{
+    Agent &agent = *m_agents[static_cast<std::size_t>(number)];
+    agent.endpoint->beginAgain(m_now);
+    agent.toldLeavingAt.reset();
+    on(agent, OrderDelay, [this, number] { report(number); });
+}
+
 // The connection of one caller is reset. One that comes back sends the job again, to any entry.
 void World::callerGoes(int number, bool comesBack)
 {
@@ -226,7 +247,25 @@
         }
         if (!jobs::fits(used, Capacity))
             violate(m_outcome.roomExceeded, "room exceeded at " + agent->endpoint->life);
+        checkHeldRuns(*agent);
+    }
+}
+
+// Room that an agent holds for runs that are over serves nobody.
+void World::checkHeldRuns(Agent &agent)
+{
+    const bool inReach = agent.up && !agent.dark && m_now >= agent.frozenUntil
+            && m_now >= agent.lateUntil;
+    std::map<jobs::RunId, Time> overSince;
+    for (const auto &[id, run] : agent.state.runs) {
+        if (!inReach || agent.endpoint->runs().count(id) != 0)
+            continue;
+        const auto known = agent.overSince.find(id);
+        overSince[id] = known == agent.overSince.end() ? m_now : known->second;
+        if (m_now > overSince[id] + LearnsOfEndBound)
+            violate(m_outcome.runsHeld, "room is held for a run of " + id.task.job + ", over long");
     }
+    agent.overSince.swap(overSince);
 }
 
 } // namespace foxwing::test
--- a/tests/fleet/worldparts.h
+++ b/tests/fleet/worldparts.h
@@ -29,6 +29,12 @@
 constexpr Milliseconds LongestNews { 50 };
 constexpr Milliseconds CordonBound { 500 };
 constexpr int DataCentres = 2;
+
+// A start that was ordered before its endpoint said that it leaves begins within this.
+constexpr Milliseconds LeavingBound { 500 };
+
+// Within it an agent in reach of its endpoint learns that a run is over: looks come every 60 ms.
+constexpr Milliseconds LearnsOfEndBound { 2000 };
 inline const jobs::Room Capacity { 16000, 65536, 0 };
 
 // Work after the last job came, so that every answer is out.
@@ -74,7 +80,12 @@
     bool dark = false;
     Time lateUntil {};
     Time cutUntil {};
-    std::uint64_t beats = 0;
+
+    // When it acknowledged that its endpoint leaves
+    std::optional<Time> toldLeavingAt;
+
+    // Runs that it holds and its endpoint does not, and since when
+    std::map<jobs::RunId, Time> overSince;
 };
 
 struct World::Call
