Tell the lives of an endpoint apart by id and birth; count anew in each

Cause: an agent knew a life of its endpoint by the id alone. An endpoint that begins again under its id counts heartbeats, ends and its clock anew. So its heartbeats, "leaving" among them, were passed over as older than the last of the life before; ends up to the last number of that life were acknowledged unseen, so runs that were over held their room; deadlines went by the former clock. Class: counters compared across the restart of who counts.

Change: a life is an id and the date at which it began (LifeId). What is counted within one life stands in one struct, LifeState, which another life replaces as a whole, so no count can be forgotten. A list of runs that names another life goes before heartbeats; until that life's own heartbeat nothing starts there. A heartbeat of a life that began earlier waits for the endpoint's next answer, which also decides where its clock was set back. Runs of the former life are lost once a list of the new one, asked for with a raised fence, does not show them: an order on its way may have reached either. Answers to orders of a former life tell neither clock nor fence.

Ruled out: ending all runs as lost at the first word of the new life (a start on its way would run beside the one elsewhere; schedules with late orders and fences ignored find it: guard FenceOfLife).

Builds without the date and without fences are found out (DateOfLife, FenceOfLife).

--- a/packages/fleet/include/foxwing/fleet/dialect.h
+++ b/packages/fleet/include/foxwing/fleet/dialect.h
@@ -72,8 +72,8 @@
 {
     EndpointWish wish = EndpointWish::Other;
 
-    // Which life of it is meant
-    std::string life;
+    // Leave: which life of it has ended; Beat: what it says of itself
+    runner::LifeId life;
     runner::EndpointReport report;
 };
 
--- a/packages/fleet/src/agentshell.cpp
+++ b/packages/fleet/src/agentshell.cpp
@@ -291,12 +291,12 @@
     gauge("foxwing_oldest_run_ms", "How long the run ordered first has been taking room",
           toMilliseconds(runner::oldestRun(m_runner, steadyNow())));
     gauge("foxwing_last_end_noted", "Number of the endpoint's last end that was taken note of",
-          count(m_runner.lastSeen));
+          count(m_runner.life.lastSeen));
     gauge("foxwing_starts_waiting", "Starts that wait here for room",
           count(m_runner.waiting.size()));
     gauge("foxwing_sessions", "Entries in touch", count(m_runner.sessions.size()));
-    gauge("foxwing_endpoint_pace", "Time taken against estimates", m_runner.pace);
-    gauge("foxwing_endpoint_bad", "Evidence against the endpoint, 0 to 1", m_runner.bad);
+    gauge("foxwing_endpoint_pace", "Time taken against estimates", m_runner.life.pace);
+    gauge("foxwing_endpoint_bad", "Evidence against the endpoint, 0 to 1", m_runner.life.bad);
     gauge("foxwing_cordons_revision", "Cordons known here", count(m_runner.cordons.revision));
     gauge("foxwing_cordoned", "Whether the endpoint gets nothing new, by a cordon",
           runner::isCordoned(m_runner) ? 1 : 0);
--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -221,13 +221,23 @@
     std::optional<WallTime> born;
 };
 
-// What the endpoint says of itself in a heartbeat.
-struct EndpointReport
+// One life of an endpoint's process. The next one may come under the same id.
+struct LifeId
 {
-    std::string life;
+    std::string id;
 
-    // When it began, by its own date
+    // When it began, by its own date; left out where the platform does not tell it, and gives each
+    // life an id of its own
     std::optional<WallTime> born;
+};
+
+bool operator==(const LifeId &left, const LifeId &right);
+bool operator!=(const LifeId &left, const LifeId &right);
+
+// What the endpoint says of itself in a heartbeat.
+struct EndpointReport
+{
+    LifeId life;
     std::string service;
     std::string dataCentre;
     std::vector<std::string> labels;
@@ -270,9 +280,12 @@
     Time stopOrderedAt {};
     bool stopUnderWay = false;
 
-    // The first look ordered after a stop was answered; 0 before
+    // The first look ordered after a stop was answered, or in another life; 0 before
     std::uint64_t goneIfMissingIn = 0;
 
+    // Ordered in a former life of the endpoint, and not seen in the present one yet
+    bool ofFormerLife = false;
+
     std::uint32_t percent = 0;
     Time progressAt {};
     bool behind = false;
@@ -331,6 +344,36 @@
     Entry,
 };
 
+// What is counted within one life of the endpoint. Another life begins with all of it anew: held
+// against its counts, those of the life before had heartbeats passed over and ends forgotten.
+struct LifeState
+{
+    // Whether a heartbeat of this life has told what it is and how much room it has; until then
+    // only a list of runs has shown that it is there.
+    bool described = false;
+
+    // Nothing runs that this agent did not start: earlier lives' runs are stopped first.
+    bool clean = false;
+    std::set<jobs::RunId> orphans;
+
+    // The endpoint's clock when it was last told, and when that was here
+    std::optional<Milliseconds> clockSample;
+    Time clockAt {};
+
+    // The latest time that any order may have prolonged the lease to, on the endpoint's clock
+    Milliseconds leaseUntil { 0 };
+
+    // The highest number of an end that was taken note of
+    std::uint64_t lastSeen = 0;
+    std::uint32_t looksFailed = 0;
+    std::optional<Time> lookFailedAt;
+
+    // Judgement
+    double bad = 0;
+    Time badAt {};
+    double pace = 1.0;
+};
+
 struct RunnerState
 {
     RunnerSettings settings;
@@ -342,9 +385,14 @@
 
     // The endpoint; without a life nothing is known of it.
     EndpointReport endpoint;
+    LifeState life;
 
     // The lives before it, the last one at the end: what they still say comes late
-    std::deque<std::string> formerLives;
+    std::deque<LifeId> formerLives;
+
+    // The newest heartbeat of a life that began before the present one, by its own date: it comes
+    // late, or its clock was set back. The endpoint's next answer tells which.
+    std::optional<EndpointReport> doubtful;
     std::uint64_t viewNumber = 1;
     bool stopping = false;
 
@@ -354,17 +402,6 @@
     bool heardFromEntry = false;
     Time firstTick {};
 
-    // Nothing runs that this agent did not start: earlier lives' runs are stopped first.
-    bool clean = false;
-    std::set<jobs::RunId> orphans;
-
-    // The endpoint's clock when it was last told, and when that was here
-    std::optional<Milliseconds> clockSample;
-    Time clockAt {};
-
-    // The latest time that any order may have prolonged the lease to, on the endpoint's clock
-    Milliseconds leaseUntil { 0 };
-
     std::map<jobs::RunId, Run> runs;
     std::map<std::uint64_t, Session> sessions;
 
@@ -376,14 +413,6 @@
     std::uint64_t lookAnswered = 0;
     bool lookUnderWay = false;
     Time nextLook {};
-    std::uint64_t lastSeen = 0;
-    std::uint32_t looksFailed = 0;
-    std::optional<Time> lookFailedAt;
-
-    // Judgement of the endpoint
-    double bad = 0;
-    Time badAt {};
-    double pace = 1.0;
     bool wasOnTrial = false;
 
     // Counters for the metrics
@@ -418,7 +447,7 @@
 
 // The endpoint's heartbeat, or its word that it ends.
 RunnerActions endpointHeard(RunnerState &runner, const EndpointReport &report, Time now);
-RunnerActions endpointLeft(RunnerState &runner, const std::string &life, Time now);
+RunnerActions endpointLeft(RunnerState &runner, const LifeId &life, Time now);
 
 // What is cordoned. Older news than what is known here changes nothing.
 RunnerActions cordonsHeard(RunnerState &runner, const catalog::Cordons &cordons,
--- a/packages/runner/src/answers.cpp
+++ b/packages/runner/src/answers.cpp
@@ -74,18 +74,29 @@
 
 } // namespace
 
+namespace {
+
+// An answer to an order of a former life tells neither the clock nor the fence of the present one;
+// what became of the run, the next list shows. The same for runs that are over.
+bool tellsOfThisLife(const RunnerState &runner, std::map<RunId, Run>::const_iterator run)
+{
+    return run != runner.runs.end() && !run->second.ofFormerLife;
+}
+
+} // namespace
+
 RunnerActions startAnswered(RunnerState &runner, const RunId &id, const Answered &answered,
                             Time now)
 {
     RunnerActions actions;
-    takeClock(runner, answered, now);
     const auto found = runner.runs.find(id);
-    if (answered.answer == Answer::Fenced)
-        raiseFence(runner, actions);
-    if (found == runner.runs.end()) {
+    if (!tellsOfThisLife(runner, found)) {
         finishEvent(runner, now, actions);
         return actions;
     }
+    takeClock(runner, answered, now);
+    if (answered.answer == Answer::Fenced)
+        raiseFence(runner, actions);
     switch (answered.answer) {
     case Answer::Ok:
         markStarted(found->second, now);
@@ -105,12 +116,13 @@
 RunnerActions stopAnswered(RunnerState &runner, const RunId &id, const Answered &answered, Time now)
 {
     RunnerActions actions;
-    takeClock(runner, answered, now);
-    if (answered.answer == Answer::Fenced)
-        raiseFence(runner, actions);
     const auto found = runner.runs.find(id);
-    if (found != runner.runs.end()) {
+    if (found != runner.runs.end())
         found->second.stopUnderWay = false;
+    if (tellsOfThisLife(runner, found)) {
+        takeClock(runner, answered, now);
+        if (answered.answer == Answer::Fenced)
+            raiseFence(runner, actions);
         if (answered.answer == Answer::Ok)
             found->second.goneIfMissingIn = runner.lookNumber + 1;
     }
@@ -123,8 +135,8 @@
 void takeEnds(RunnerState &runner, const Look &look, Time now, RunnerActions &actions)
 {
     for (const EndedRow &row : look.ended) {
-        runner.lastSeen = std::max(runner.lastSeen, row.number);
-        runner.orphans.erase(row.id);
+        runner.life.lastSeen = std::max(runner.life.lastSeen, row.number);
+        runner.life.orphans.erase(row.id);
         endRun(runner, row.id, row.end, RefusedStart::None, now, actions);
     }
 }
@@ -134,19 +146,39 @@
                  const std::optional<WallTime> &born, RunnerActions &actions)
 {
     for (const RunId &id : seen) {
-        if (runner.orphans.insert(id).second)
+        if (runner.life.orphans.insert(id).second)
             actions.events.push_back(runEvent("orphan-stopping", id));
-        actions.stops.push_back({ id, runner.fence, runner.endpoint.life });
+        actions.stops.push_back({ id, runner.fence, runner.endpoint.life.id });
     }
-    runner.orphans = seen;
+    runner.life.orphans = seen;
     const bool clean = seen.empty();
-    if (clean && !runner.clean)
+    if (clean && !runner.life.clean)
         actions.events.push_back(change("endpoint-clean")
-                                         .with("life", runner.endpoint.life)
+                                         .with("life", runner.endpoint.life.id)
                                          .with("born_ms", bornField(born)));
-    if (clean != runner.clean)
+    if (clean != runner.life.clean)
         ++runner.viewNumber;
-    runner.clean = clean;
+    runner.life.clean = clean;
+}
+
+// It runs in the present life, whichever it was ordered in.
+void markListed(Run &run, Time now)
+{
+    markStarted(run, now);
+    if (!run.ofFormerLife)
+        return;
+    run.ofFormerLife = false;
+    run.goneIfMissingIn = 0;
+    run.startedAt = now;
+    run.progressAt = now;
+}
+
+RunEnd endWhenMissing(const Run &run)
+{
+    // It may have begun in the life that is over.
+    if (run.ofFormerLife)
+        return RunEnd::Lost;
+    return run.seen ? RunEnd::Stopped : RunEnd::NeverBegan;
 }
 
 void takeRunning(RunnerState &runner, std::uint64_t number, const Look &look, Time now,
@@ -161,7 +193,7 @@
             orphans.insert(row.id);
             continue;
         }
-        markStarted(found->second, now);
+        markListed(found->second, now);
         noteProgress(runner, found->second, row.percent, now);
     }
     judgeRuns(runner, now, actions);
@@ -169,7 +201,7 @@
     for (const auto &[id, run] : runner.runs) {
         const bool missing = listed.count(id) == 0 && run.goneIfMissingIn != 0;
         if (missing && number >= run.goneIfMissingIn)
-            gone.emplace_back(id, run.seen ? RunEnd::Stopped : RunEnd::NeverBegan);
+            gone.emplace_back(id, endWhenMissing(run));
     }
     for (const auto &[id, end] : gone)
         endRun(runner, id, end, RefusedStart::Endpoint, now, actions);
@@ -181,25 +213,31 @@
 
 void lookFailed(RunnerState &runner, const Answered &answered, Time now, RunnerActions &actions)
 {
-    ++runner.looksFailed;
-    runner.lookFailedAt = now;
+    ++runner.life.looksFailed;
+    runner.life.lookFailedAt = now;
     const std::uint32_t most = runner.settings.looksBeforeOutOfReach;
-    const std::uint32_t pauses = runner.looksFailed - std::min(runner.looksFailed, most - 1);
+    const std::uint32_t pauses = runner.life.looksFailed
+            - std::min(runner.life.looksFailed, most - 1);
     runner.nextLook = now + runner.settings.lookPause * std::min(pauses, MostPauses);
     if (answered.answer == Answer::Fenced)
         raiseFence(runner, actions);
-    if (runner.looksFailed == most)
+    if (runner.life.looksFailed == most)
         actions.events.push_back(change("endpoint-out-of-reach")
-                                         .with("life", runner.endpoint.life)
+                                         .with("life", runner.endpoint.life.id)
                                          .with("answer", toString(answered.answer)));
     // Nobody listens at its address, twice: the endpoint's process is gone, and what it ran with
     // it.
-    const bool gone = answered.answer == Answer::Unreachable && runner.looksFailed > 1;
-    // Its own word goes before the order in which heartbeats came.
-    if (answered.answer == Answer::OtherLife)
-        runner.formerLives.clear();
+    const bool gone = answered.answer == Answer::Unreachable && runner.life.looksFailed > 1;
     if (gone || answered.answer == Answer::OtherLife)
         endAll(runner, RunEnd::Lost, toString(answered.answer), now, actions);
+    if (answered.answer == Answer::OtherLife)
+        lifeDisowned(runner, now, actions);
+}
+
+bool isOfAnotherLife(const RunnerState &runner, const Look &look)
+{
+    const std::optional<WallTime> &present = runner.endpoint.life.born;
+    return look.answered.answer == Answer::Ok && look.born && present && *look.born != *present;
 }
 
 } // namespace
@@ -212,14 +250,20 @@
         return actions;
     runner.lookAnswered = number;
     runner.lookUnderWay = false;
+    if (isOfAnotherLife(runner, look)) {
+        // Its ends were asked for by the count of the life before: the next look asks anew.
+        lifeListed(runner, { runner.endpoint.life.id, look.born }, now, actions);
+        finishEvent(runner, now, actions);
+        return actions;
+    }
     takeClock(runner, look.answered, now);
     if (look.answered.answer == Answer::Ok) {
         if (isOutOfReach(runner))
             actions.events.push_back(
-                    change("endpoint-in-reach").with("life", runner.endpoint.life));
-        runner.looksFailed = 0;
+                    change("endpoint-in-reach").with("life", runner.endpoint.life.id));
+        runner.life.looksFailed = 0;
         runner.fencedOff = 0;
-        runner.nextLook = runner.clean ? now : now + runner.settings.lookPause;
+        runner.nextLook = runner.life.clean ? now : now + runner.settings.lookPause;
         takeEnds(runner, look, now, actions);
         takeRunning(runner, number, look, now, actions);
     } else {
--- a/packages/runner/src/internal.h
+++ b/packages/runner/src/internal.h
@@ -5,6 +5,7 @@
     [SECTION] Waiting
     [SECTION] Sessions
     [SECTION] Runs
+    [SECTION] Lives
     [SECTION] Judgement
 */
 #pragma once
@@ -51,9 +52,6 @@
 // A log line about one run.
 eventlog::Event runEvent(const char *name, const jobs::RunId &id);
 
-// The same for a life's date, in milliseconds since 1970; 0 if the endpoint did not say.
-std::int64_t bornField(const std::optional<WallTime> &born);
-
 // Orders the start once more, or for the first time. Needs a lease deadline.
 void orderStart(RunnerState &runner, const jobs::RunId &id, Run &run, Time now,
                 RunnerActions &actions);
@@ -73,14 +71,28 @@
 void orderStop(RunnerState &runner, const jobs::RunId &id, Run &run, Time now,
                RunnerActions &actions);
 
-// Everything on the endpoint is certainly over.
-void endAll(RunnerState &runner, jobs::RunEnd end, const char *why, Time now,
-            RunnerActions &actions);
-
 // The latest lease may be prolonged to from now; nothing before the endpoint's clock is known, or
 // while the lease is left to end.
 std::optional<Milliseconds> leaseDeadline(const RunnerState &runner, Time now);
 void takeClock(RunnerState &runner, const Answered &answered, Time now);
+
+// [SECTION] Lives
+
+// A life's date for a log line, in milliseconds since 1970; 0 if the endpoint did not say.
+std::int64_t bornField(const std::optional<WallTime> &born);
+
+// Everything on the endpoint is certainly over.
+void endAll(RunnerState &runner, jobs::RunEnd end, const char *why, Time now,
+            RunnerActions &actions);
+
+// A list of runs came from another life than the present one.
+void lifeListed(RunnerState &runner, const LifeId &life, Time now, RunnerActions &actions);
+
+// The endpoint says that it is not the present life.
+void lifeDisowned(RunnerState &runner, Time now, RunnerActions &actions);
+
+// The endpoint refuses orders because another agent, or an earlier life of this one, used a higher
+// fence.
 void raiseFence(RunnerState &runner, RunnerActions &actions);
 
 // [SECTION] Judgement
--- a/packages/runner/src/judgement.cpp
+++ b/packages/runner/src/judgement.cpp
@@ -14,7 +14,7 @@
 
 bool onTrial(const RunnerState &runner)
 {
-    return runner.settings.judgeEndpoint && runner.bad >= runner.settings.trialAbove;
+    return runner.settings.judgeEndpoint && runner.life.bad >= runner.settings.trialAbove;
 }
 
 void noteGood(RunnerState &runner, const Run &run, Milliseconds took)
@@ -24,18 +24,18 @@
     constexpr double Least = 0.2;
     constexpr double Most = 5.0;
     if (!run.lagged)
-        runner.bad *= runner.settings.goodFactor;
+        runner.life.bad *= runner.settings.goodFactor;
     if (run.estimate.count() <= 0)
         return;
     const double ratio = static_cast<double>(took.count())
             / static_cast<double>(run.estimate.count());
-    runner.pace += Weight * (std::clamp(ratio, Least, Most) - runner.pace);
+    runner.life.pace += Weight * (std::clamp(ratio, Least, Most) - runner.life.pace);
 }
 
 void noteBad(RunnerState &runner, Time now)
 {
-    runner.bad = std::min(1.0, runner.bad + runner.settings.badStep);
-    runner.badAt = now;
+    runner.life.bad = std::min(1.0, runner.life.bad + runner.settings.badStep);
+    runner.life.badAt = now;
 }
 
 void noteProgress(RunnerState &runner, Run &run, std::uint32_t percent, Time now)
--- a/packages/runner/src/offer.cpp
+++ b/packages/runner/src/offer.cpp
@@ -14,7 +14,7 @@
 
 bool isOutOfReach(const RunnerState &runner)
 {
-    return runner.looksFailed >= runner.settings.looksBeforeOutOfReach;
+    return runner.life.looksFailed >= runner.settings.looksBeforeOutOfReach;
 }
 
 namespace {
@@ -24,9 +24,9 @@
 
 bool mayStart(const RunnerState &runner)
 {
-    return !runner.endpoint.life.empty() && !runner.endpoint.leaving && !runner.stopping
-            && runner.clean && runner.clockSample && !isOutOfReach(runner) && runner.cordonsKnown
-            && !isCordoned(runner);
+    return runner.life.described && !runner.endpoint.leaving && !runner.stopping
+            && runner.life.clean && runner.life.clockSample && !isOutOfReach(runner)
+            && runner.cordonsKnown && !isCordoned(runner);
 }
 
 } // namespace
@@ -71,21 +71,21 @@
         return 0;
     if (!onTrial(runner))
         return AnyNumber;
-    const bool rested = now >= runner.badAt + runner.settings.trialRest;
+    const bool rested = now >= runner.life.badAt + runner.settings.trialRest;
     return runner.runs.empty() && rested ? 1 : 0;
 }
 
 jobs::EndpointView viewOf(const RunnerState &runner, Time now)
 {
     jobs::EndpointView view;
-    view.life = runner.endpoint.life;
+    view.life = runner.endpoint.life.id;
     view.service = runner.endpoint.service;
     view.dataCentre = runner.endpoint.dataCentre;
     view.labels = runner.endpoint.labels;
     view.capacity = runner.endpoint.capacity;
     view.free = offeredRoom(runner);
     view.mostStarts = mostStarts(runner, now);
-    view.paceMille = static_cast<std::uint32_t>(runner.pace * 1000);
+    view.paceMille = static_cast<std::uint32_t>(runner.life.pace * 1000);
     view.leaving = runner.endpoint.leaving || runner.stopping;
     return view;
 }
@@ -106,7 +106,7 @@
 void welcome(RunnerState &runner, std::uint64_t number, Session &session, Time now,
              RunnerActions &actions)
 {
-    if (!runner.clean || ownerHasOtherRuns(runner, number, session))
+    if (!runner.life.clean || ownerHasOtherRuns(runner, number, session))
         return;
     session.welcomed = true;
     session.toldView = runner.viewNumber;
@@ -155,7 +155,7 @@
     update.startsTaken = session.startsTaken;
     update.free = free;
     update.mostStarts = most;
-    update.paceMille = static_cast<std::uint32_t>(runner.pace * 1000);
+    update.paceMille = static_cast<std::uint32_t>(runner.life.pace * 1000);
     update.leaving = runner.endpoint.leaving || runner.stopping;
     update.ended.swap(session.ended);
     update.lagging.swap(session.lagging);
@@ -194,18 +194,19 @@
 
 void orderLook(RunnerState &runner, Time now, RunnerActions &actions)
 {
-    if (runner.lookUnderWay || runner.endpoint.life.empty() || now < runner.nextLook)
+    if (runner.lookUnderWay || runner.endpoint.life.id.empty() || now < runner.nextLook)
         return;
     runner.lookUnderWay = true;
     LookOrder look;
     look.number = ++runner.lookNumber;
     look.fence = runner.fence;
-    look.life = runner.endpoint.life;
-    look.lastSeen = runner.lastSeen;
-    const bool quick = !runner.clean || !runner.clockSample || runner.looksFailed > 0;
+    look.life = runner.endpoint.life.id;
+    look.lastSeen = runner.life.lastSeen;
+    const bool quick = !runner.life.clean || !runner.life.clockSample
+            || runner.life.looksFailed > 0;
     const bool busy = !runner.runs.empty();
-    const bool doubtful = runner.lookFailedAt
-            && now < *runner.lookFailedAt + runner.settings.doubtfulSpan;
+    const bool doubtful = runner.life.lookFailedAt
+            && now < *runner.life.lookFailedAt + runner.settings.doubtfulSpan;
     look.wait = quick          ? Milliseconds(0)
             : busy && doubtful ? runner.settings.doubtfulWait
             : busy             ? runner.settings.busyWait
@@ -214,7 +215,7 @@
     if (busy && !isOutOfReach(runner))
         look.deadline = leaseDeadline(runner, now);
     if (look.deadline)
-        runner.leaseUntil = std::max(runner.leaseUntil, *look.deadline);
+        runner.life.leaseUntil = std::max(runner.life.leaseUntil, *look.deadline);
     actions.look = look;
 }
 
@@ -222,10 +223,10 @@
 
 std::optional<Milliseconds> leaseDeadline(const RunnerState &runner, Time now)
 {
-    if (!runner.clockSample || leaseIsLeftToEnd(runner, now))
+    if (!runner.life.clockSample || leaseIsLeftToEnd(runner, now))
         return std::nullopt;
-    const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - runner.clockAt);
-    return *runner.clockSample + elapsed + runner.settings.leaseSpan;
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - runner.life.clockAt);
+    return *runner.life.clockSample + elapsed + runner.settings.leaseSpan;
 }
 
 void finishEvent(RunnerState &runner, Time now, RunnerActions &actions)
@@ -236,9 +237,9 @@
         runner.wasOnTrial = onTrial(runner);
         actions.events.push_back(
                 eventlog::change(runner.wasOnTrial ? "endpoint-on-trial" : "endpoint-trusted")
-                        .with("life", runner.endpoint.life)
-                        .with("bad_percent", static_cast<int>(runner.bad * 100))
-                        .with("pace_percent", static_cast<int>(runner.pace * 100))
+                        .with("life", runner.endpoint.life.id)
+                        .with("bad_percent", static_cast<int>(runner.life.bad * 100))
+                        .with("pace_percent", static_cast<int>(runner.life.pace * 100))
                         .with("runs", std::uint64_t { runner.runs.size() }));
     }
     const jobs::Room free = offeredRoom(runner);
--- a/packages/runner/src/runner.cpp
+++ b/packages/runner/src/runner.cpp
@@ -1,10 +1,9 @@
 /*
-    Runs and lives of the endpoint. What entries ask for is in sessions.cpp, what the endpoint
-    answers in answers.cpp.
+    Runs, cordons and time. What entries ask for is in sessions.cpp, what the endpoint answers in
+    answers.cpp, its lives and heartbeats in lives.cpp.
 
     [SECTION] Names
     [SECTION] Runs
-    [SECTION] Endpoint
     [SECTION] Cordons
     [SECTION] Time
 */
@@ -72,11 +71,6 @@
             .with("run", id.run);
 }
 
-std::int64_t bornField(const std::optional<WallTime> &born)
-{
-    return born ? born->time_since_epoch().count() : 0;
-}
-
 namespace {
 
 void countEnd(RunnerState &runner, RunEnd end)
@@ -125,7 +119,7 @@
 {
     run.stopOrderedAt = now;
     run.stopUnderWay = true;
-    actions.stops.push_back({ id, runner.fence, runner.endpoint.life });
+    actions.stops.push_back({ id, runner.fence, runner.endpoint.life.id });
 }
 
 void beginStopping(RunnerState &runner, const RunId &id, Run &run, const char *why, Time now,
@@ -142,132 +136,15 @@
     orderStop(runner, id, run, now, actions);
 }
 
-void endAll(RunnerState &runner, RunEnd end, const char *why, Time now, RunnerActions &actions)
-{
-    if (!runner.runs.empty())
-        actions.events.push_back(
-                change("all-runs-over").with("why", why).with("runs", runner.runs.size()));
-    while (!runner.runs.empty()) {
-        const RunId id = runner.runs.begin()->first;
-        endRun(runner, id, end, RefusedStart::None, now, actions);
-    }
-    runner.orphans.clear();
-}
-
 void takeClock(RunnerState &runner, const Answered &answered, Time now)
 {
     if (!answered.endpointClock)
         return;
     // Answers overtake each other: an older one must not set the clock back.
-    if (runner.clockSample && *answered.endpointClock < *runner.clockSample)
+    if (runner.life.clockSample && *answered.endpointClock < *runner.life.clockSample)
         return;
-    runner.clockSample = answered.endpointClock;
-    runner.clockAt = now;
-}
-
-void raiseFence(RunnerState &runner, RunnerActions &actions)
-{
-    // The first step spans a clock that was a minute ahead, for fences made of milliseconds and ten
-    // more bits; each further one is twice as far.
-    constexpr std::uint64_t FirstStep = 60000ULL << 10U;
-    constexpr std::uint32_t MostDoublings = 10;
-    runner.fence += FirstStep << std::min(runner.fencedOff, MostDoublings);
-    ++runner.fencedOff;
-    actions.events.push_back(change("fence-raised").with("fence", runner.fence));
-}
-
-// [SECTION] Endpoint
-
-namespace {
-
-void newLife(RunnerState &runner, const EndpointReport &report, Time now, RunnerActions &actions)
-{
-    actions.events.push_back(change("endpoint-life")
-                                     .with("life", report.life)
-                                     .with("born_ms", bornField(report.born))
-                                     .with("before", runner.endpoint.life)
-                                     .with("before_born_ms", bornField(runner.endpoint.born))
-                                     .with("service", report.service));
-    endAll(runner, RunEnd::Lost, "another life of the endpoint", now, actions);
-    if (!runner.endpoint.life.empty())
-        runner.formerLives.push_back(runner.endpoint.life);
-    if (runner.formerLives.size() > runner.settings.mostFormerLives)
-        runner.formerLives.pop_front();
-    runner.clean = false;
-    runner.clockSample.reset();
-    runner.leaseUntil = Milliseconds(0);
-    runner.lastSeen = 0;
-    runner.looksFailed = 0;
-    runner.bad = 0;
-    runner.pace = 1.0;
-    // A look that is under way was for the other life; its answer is not waited for.
-    runner.lookUnderWay = false;
-    runner.lookAnswered = runner.lookNumber;
-    runner.nextLook = now;
-}
-
-// A heartbeat that changes nothing: without its line, one that was wrongly taken for an old one
-// leaves no trace, though the endpoint was told that it had been heard.
-void passOver(RunnerState &runner, const EndpointReport &report, const char *why,
-              RunnerActions &actions)
-{
-    ++runner.heartbeatsPassedOver;
-    actions.events.push_back(change("heartbeat-passed-over")
-                                     .with("why", why)
-                                     .with("life", report.life)
-                                     .with("born_ms", bornField(report.born))
-                                     .with("sequence", report.sequence)
-                                     .with("leaving", report.leaving ? 1 : 0)
-                                     .with("present", runner.endpoint.life)
-                                     .with("present_born_ms", bornField(runner.endpoint.born))
-                                     .with("present_sequence", runner.endpoint.sequence));
-}
-
-bool sameView(const EndpointReport &left, const EndpointReport &right)
-{
-    return left.life == right.life && left.leaving == right.leaving && left.labels == right.labels
-            && left.capacity == right.capacity && left.service == right.service;
-}
-
-} // namespace
-
-RunnerActions endpointHeard(RunnerState &runner, const EndpointReport &report, Time now)
-{
-    RunnerActions actions;
-    if (report.life == runner.endpoint.life && report.sequence < runner.endpoint.sequence) {
-        passOver(runner, report, "older than the last one heard", actions);
-        return actions;
-    }
-    const std::deque<std::string> &former = runner.formerLives;
-    if (std::find(former.begin(), former.end(), report.life) != former.end()) {
-        passOver(runner, report, "of a former life", actions);
-        return actions;
-    }
-    if (report.life != runner.endpoint.life)
-        newLife(runner, report, now, actions);
-    else if (report.leaving && !runner.endpoint.leaving)
-        actions.events.push_back(change("endpoint-leaving")
-                                         .with("life", report.life)
-                                         .with("remaining_ms", report.remaining)
-                                         .with("runs", runner.runs.size()));
-    if (!sameView(report, runner.endpoint))
-        ++runner.viewNumber;
-    runner.endpoint = report;
-    takeClock(runner, { Answer::Ok, report.clock }, now);
-    finishEvent(runner, now, actions);
-    return actions;
-}
-
-RunnerActions endpointLeft(RunnerState &runner, const std::string &life, Time now)
-{
-    RunnerActions actions;
-    if (life == runner.endpoint.life && !life.empty()) {
-        actions.events.push_back(change("endpoint-left").with("life", life));
-        runner.endpoint.leaving = true;
-        ++runner.viewNumber;
-    }
-    finishEvent(runner, now, actions);
-    return actions;
+    runner.life.clockSample = answered.endpointClock;
+    runner.life.clockAt = now;
 }
 
 // [SECTION] Cordons
@@ -316,10 +193,14 @@
 
 bool leaseIsOver(const RunnerState &runner, Time now)
 {
-    if (!runner.clockSample)
+    // What was ordered for a former life may have been taken by this one, with a deadline of the
+    // other's clock.
+    const bool leftOver = std::any_of(runner.runs.begin(), runner.runs.end(),
+                                      [](const auto &item) { return item.second.ofFormerLife; });
+    if (!runner.life.clockSample || leftOver)
         return false;
-    const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - runner.clockAt);
-    return *runner.clockSample + elapsed * SlowestClockPercent / 100 > runner.leaseUntil;
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - runner.life.clockAt);
+    return *runner.life.clockSample + elapsed * SlowestClockPercent / 100 > runner.life.leaseUntil;
 }
 
 void repeatStops(RunnerState &runner, Time now, RunnerActions &actions)
@@ -350,7 +231,7 @@
     takeEntrysWord(runner, now, actions);
     endSilentSessions(runner, now, actions);
     repeatStops(runner, now, actions);
-    if (!runner.runs.empty() && runner.looksFailed > 0 && leaseIsOver(runner, now))
+    if (!runner.runs.empty() && runner.life.looksFailed > 0 && leaseIsOver(runner, now))
         endAll(runner, RunEnd::Lapsed, "the lease is over and the endpoint out of reach", now,
                actions);
     finishEvent(runner, now, actions);
--- a/packages/runner/src/sessions.cpp
+++ b/packages/runner/src/sessions.cpp
@@ -84,8 +84,8 @@
     order.payload = run.payload;
     order.deadline = *leaseDeadline(runner, now);
     order.fence = runner.fence;
-    order.life = runner.endpoint.life;
-    runner.leaseUntil = std::max(runner.leaseUntil, order.deadline);
+    order.life = runner.endpoint.life.id;
+    runner.life.leaseUntil = std::max(runner.life.leaseUntil, order.deadline);
     ++run.tries;
     actions.starts.push_back(std::move(order));
 }
--- a/packages/runner/tests/bench.h
+++ b/packages/runner/tests/bench.h
@@ -34,7 +34,7 @@
 inline EndpointReport makeReport(const std::string &life, std::uint64_t sequence)
 {
     EndpointReport report;
-    report.life = life;
+    report.life.id = life;
     report.service = "align";
     report.capacity = { 4000, 1000, 0 };
     report.sequence = sequence;
@@ -46,7 +46,7 @@
 inline EndpointReport makeReport(const std::string &life, std::int64_t born, std::uint64_t sequence)
 {
     EndpointReport report = makeReport(life, sequence);
-    report.born = WallTime(Milliseconds(born));
+    report.life.born = WallTime(Milliseconds(born));
     return report;
 }
 
--- a/packages/runner/tests/lives_test.cpp
+++ b/packages/runner/tests/lives_test.cpp
@@ -133,7 +133,7 @@
 TEST(RunnerLifeAgain, IsAskedForItsEndsFromTheFirst)
 {
     LongLife bench;
-    EXPECT_EQ(bench.runner.lastSeen, 500U);
+    EXPECT_EQ(bench.runner.life.lastSeen, 500U);
     const RunnerActions settled = bench.beginAgain();
     ASSERT_TRUE(settled.look);
     EXPECT_EQ(settled.look->lastSeen, 0U);
--- a/packages/runner/tests/orders_test.cpp
+++ b/packages/runner/tests/orders_test.cpp
@@ -191,7 +191,7 @@
     startAnswered(bench.runner, runId(1), { Answer::Ok, bench.clock() }, bench.now);
     const RunnerActions late = endpointHeard(bench.runner, makeReport("life-1", 7), bench.now);
     EXPECT_TRUE(endsIn(late).empty());
-    EXPECT_EQ(bench.runner.endpoint.life, "life-2");
+    EXPECT_EQ(bench.runner.endpoint.life.id, "life-2");
     EXPECT_EQ(bench.runner.runs.size(), 1U);
     EXPECT_GT(viewOf(bench.runner, bench.now).mostStarts, 0U);
 }
@@ -206,7 +206,7 @@
     bench.failLook = true;
     bench.answerLook(disowned);
     endpointHeard(bench.runner, makeReport("life-1", 7), bench.now);
-    EXPECT_EQ(bench.runner.endpoint.life, "life-1");
+    EXPECT_EQ(bench.runner.endpoint.life.id, "life-1");
 }
 
 // Of many lives only the last ones are remembered.
@@ -216,7 +216,7 @@
     for (int i = 2; i < 100; ++i)
         endpointHeard(bench.runner, makeReport("life-" + std::to_string(i), 1), bench.now);
     EXPECT_EQ(bench.runner.formerLives.size(), bench.runner.settings.mostFormerLives);
-    EXPECT_EQ(bench.runner.formerLives.back(), "life-98");
+    EXPECT_EQ(bench.runner.formerLives.back().id, "life-98");
 }
 
 TEST(RunnerLives, RunsOfAnEarlierAgentAreStoppedBeforeAnythingStarts)
--- a/packages/runner/tests/starting_test.cpp
+++ b/packages/runner/tests/starting_test.cpp
@@ -95,7 +95,7 @@
     ASSERT_EQ(ends.size(), 1U);
     EXPECT_EQ(ends[0].end, RunEnd::Stopped);
     EXPECT_EQ(bench.start(4).starts.size(), 1U);
-    EXPECT_EQ(bench.runner.lastSeen, 1U);
+    EXPECT_EQ(bench.runner.life.lastSeen, 1U);
 }
 
 struct RefusalCase
--- a/tests/fleet/endpoint.cpp
+++ b/tests/fleet/endpoint.cpp
@@ -82,7 +82,7 @@
 {
     if (lifeWanted != life)
         return Answer::OtherLife;
-    if (fence < m_fence)
+    if (keepsFence && fence < m_fence)
         return Answer::Fenced;
     m_fence = fence;
     return std::nullopt;
@@ -138,7 +138,8 @@
     const auto seen = [&](const runner::EndedRow &row) { return row.number <= order.lastSeen; };
     m_ended.erase(std::remove_if(m_ended.begin(), m_ended.end(), seen), m_ended.end());
     look.answered = { Answer::Ok, clock(now) };
-    look.born = born;
+    if (tellsBorn)
+        look.born = born;
     for (const auto &[id, run] : m_runs) {
         const double whole = static_cast<double>((run.doneAt - run.startedAt).count());
         const double ran = static_cast<double>((now - run.startedAt).count());
--- a/tests/fleet/endpoint.h
+++ b/tests/fleet/endpoint.h
@@ -53,6 +53,10 @@
     std::string life;
     WallTime born { Milliseconds(1'700'000'000'000) };
 
+    // Checks that a test takes away
+    bool tellsBorn = true;
+    bool keepsFence = true;
+
     // Heartbeats of this life
     std::uint64_t beats = 0;
     bool leaving = false;
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -238,6 +238,14 @@
                 GuardCase { "Cordons",
                             [](WorldSettings &s) { s.agentsIgnoreCordons = true; },
                             { Fault::Cordon, Fault::EntryFreeze } },
+                // Lives that can't be told apart: counts of one are held against the next.
+                GuardCase { "DateOfLife",
+                            [](WorldSettings &s) { s.livesHaveNoDate = true; },
+                            { Fault::EndpointAgain } },
+                // What was ordered for the life before begins in the next one.
+                GuardCase { "FenceOfLife",
+                            [](WorldSettings &s) { s.fencesIgnored = true; },
+                            { Fault::EndpointAgain, Fault::LateOrders } },
                 // A long lease outlives the agent that was killed.
                 GuardCase { "Lease",
                             [](WorldSettings &s) { s.runner.leaseSpan = Milliseconds(5000); },
--- a/tests/fleet/world.cpp
+++ b/tests/fleet/world.cpp
@@ -31,6 +31,8 @@
         m_agents.back()->endpoint =
                 std::make_unique<FakeEndpoint>("life-" + std::to_string(++m_lastLife), rate,
                                                Milliseconds(offset(m_random)));
+        m_agents.back()->endpoint->tellsBorn = !settings.livesHaveNoDate;
+        m_agents.back()->endpoint->keepsFence = !settings.fencesIgnored;
     }
 }
 
@@ -341,8 +343,9 @@
     if (agent.dark)
         return;
     runner::EndpointReport report;
-    report.life = endpoint.life;
-    report.born = endpoint.born;
+    report.life.id = endpoint.life;
+    if (endpoint.tellsBorn)
+        report.life.born = endpoint.born;
     report.service = "service";
     report.dataCentre = m_settings.agentsIgnoreCordons ? "" : dataCentreOf(number);
     report.capacity = Capacity;
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -82,6 +82,12 @@
 
     // Agents do not look at cordons.
     bool agentsIgnoreCordons = false;
+
+    // Endpoints do not tell when their lives began, though ids come again.
+    bool livesHaveNoDate = false;
+
+    // Endpoints carry out what has a lower fence than what they have seen.
+    bool fencesIgnored = false;
 };
 
 struct WorldOutcome
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -449,7 +449,7 @@
 {
     Host &host = m_hosts[number];
     runner::EndpointReport report;
-    report.life = "life-" + std::to_string(number);
+    report.life.id = "life-" + std::to_string(number);
     report.service = "service";
     report.dataCentre = centreName(host.dataCentre);
     report.capacity = host.capacity;
