--- a/bench/days.sh
+++ b/bench/days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# days.sh BENCH SITE [SEED...]: plays every day of bench/days on a site and prints a line for each.
+# days.sh BENCH SITE [SEED...]: plays every day of deploy/days on a site and prints a line for each.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bench=$1
@@ -8,7 +8,7 @@
 play() {
     local day=$1 seed=$2
     local report
-    report=$("$bench" run "$site" "bench/days/$day.toml" --seed "$seed" \
+    report=$("$bench" run "$site" "deploy/days/$day.toml" --seed "$seed" \
         --why "own day $day, seed $seed: do all rules hold" 2>&1) || true
     printf '%s seed %s: %s\n' "$day" "$seed" "$(grep -E "^$day " <<<"$report" | tail -1)"
     grep -E '^ *(LIMIT|TWICE|ORDER|ROUTE|BUDGET|GANG|UNASKED|REFUSED|CONFIG|DRAIN|LOST|RECOVER|MIXED)' \
@@ -16,7 +16,7 @@
 }
 "$bench" build >/dev/null
 for seed in "${@:-7}"; do
-    for file in bench/days/*.toml; do
+    for file in deploy/days/*.toml; do
         play "$(basename "$file" .toml)" "$seed" &
         while [ "$(jobs -rp | wc -l)" -ge 5 ]; do wait -n; done
     done
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -125,6 +125,7 @@
         self.port = f"{self.inner_ip}:8161"
         self.endpoint = f"127.{block + 4}.1.{number}:8165"
         self.process, self.paused, self.life = None, False, 0
+        self.on_start = lambda: None
 
     def settings(self):
         listen = {"entry": f'callers = "{self.port}"\nreadiness = "{self.inner_ip}:8167"',
@@ -143,6 +144,7 @@
         with open(path, "w") as file:
             file.write(self.settings())
         self.first, self.life = False, self.life + 1
+        self.on_start()
         self.began = time.monotonic()
         self.log = open(f"{self.folder}/{self.name}.log", "ab")
         self.process = await asyncio.create_subprocess_exec(
@@ -187,6 +189,8 @@
         self.controls = make("control", CONTROLS)
         self.endpoints = [standins.Endpoint(agent.number, agent.endpoint, agent.port, ledger, CAPACITY)
                           for agent in self.agents]
+        for agent, endpoint in zip(self.agents, self.endpoints):
+            agent.on_start = endpoint.agent_began
         self.all = self.entries + self.agents + self.controls
         self.proxies = {p.name: Proxy(f"{p.ip}:{INNER_PORT}", f"{p.inner_ip}:{INNER_PORT}")
                         for p in self.agents + self.controls}
@@ -302,8 +306,22 @@
         await self.on("reset", self.agents + self.controls, work)
 
     async def crash_endpoint(self):
+        """Every other life keeps the id, and says a little later that it leaves."""
         self.count("endpoint crash")
-        self.random.choice(self.endpoints).new_life()
+        endpoint = self.random.choice(self.endpoints)
+        endpoint.new_life(same_id=endpoint.lives % 2 == 1)
+        lives = endpoint.lives
+        if lives % 2 == 1 or endpoint.leaving:
+            return
+        await asyncio.sleep(1)
+        if endpoint.lives != lives:
+            return
+        self.count("endpoint leaves")
+        endpoint.leaving = True
+        await endpoint.report()
+        await asyncio.sleep(2)
+        if endpoint.lives == lives:
+            endpoint.new_life(same_id=True)
 
     async def hang_endpoint(self):
         self.count("endpoint hang")
