--- a/packages/fleet/src/agentshell.cpp
+++ b/packages/fleet/src/agentshell.cpp
@@ -33,6 +33,9 @@
 constexpr Milliseconds LastRuns { 1000 };
 constexpr Milliseconds LastWords { 300 };
 
+// Of an error in a log line; it may quote what was sent.
+constexpr std::size_t LongestReason = 200;
+
 // Fences are milliseconds of the date with ten bits below them that differ between two lives of one
 // millisecond.
 constexpr unsigned FenceBits = 10;
@@ -72,6 +75,7 @@
     void sendTo(std::uint64_t session, const Frame &frame);
 
     void handleEndpoint(const ExchangePtr &exchange);
+    void noteUnreadable(const std::string &reason, Time now);
     void orderStart(const runner::StartOrder &order);
     void orderStop(const runner::StopOrder &order);
     void orderLook(const runner::LookOrder &order);
@@ -87,6 +91,10 @@
     std::map<std::uint64_t, std::shared_ptr<fabric::Link>> m_entries;
     std::uint64_t m_lastSession = 0;
     Time m_stopBegan {};
+
+    // Calls of endpoints that could not be read, and when a line last told of one
+    std::uint64_t m_unreadable = 0;
+    Time m_unreadableTold {};
     ControlLinks m_control;
 };
 
@@ -188,15 +196,28 @@
 
 // [SECTION] Endpoint
 
+// One line a second, so that a writer that repeats itself hides nothing else.
+void AgentShell::noteUnreadable(const std::string &reason, Time now)
+{
+    ++m_unreadable;
+    if (now < m_unreadableTold + Seconds(1))
+        return;
+    m_unreadableTold = now;
+    writeEvent(m_core.log,
+               change("endpoint-unreadable")
+                       .with("reason", reason.substr(0, LongestReason))
+                       .with("total", m_unreadable));
+}
+
 void AgentShell::handleEndpoint(const ExchangePtr &exchange)
 {
     Error reason;
     const auto call = m_dialect.readEndpointCall(exchange->request(), &reason);
+    const Time now = steadyNow();
     if (!call) {
-        writeEvent(m_core.log, change("endpoint-unreadable").with("reason", reason.message));
+        noteUnreadable(reason.message, now);
         return exchange->answer(m_dialect.writeEndpointAnswer(false, reason.message));
     }
-    const Time now = steadyNow();
     if (call->wish == EndpointWish::Leave)
         carryOut(runner::endpointLeft(m_runner, call->life, now));
     else
@@ -281,6 +302,8 @@
           count(m_runner.unanswered) },
         { "foxwing_heartbeats_passed_over_total", "Heartbeats that changed nothing",
           count(m_runner.heartbeatsPassedOver) },
+        { "foxwing_heartbeats_unreadable_total", "Calls of endpoints that were refused",
+          count(m_unreadable) },
         { "foxwing_endpoint_connections_total", "Connections opened to the endpoint",
           count(m_endpoint.opened()) },
     };
--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -123,6 +123,9 @@
     // heartbeat can be held up on its way.
     std::size_t mostFormerLives = 16;
 
+    // Log lines a second about heartbeats that change nothing. Endpoints send one in 1.5 s.
+    std::uint32_t passedOverLines = 5;
+
     // Endpoints whose runs fail or lag are put on trial.
     bool judgeEndpoint = true;
 
@@ -352,6 +355,9 @@
     // only a list of runs has shown that it is there.
     bool described = false;
 
+    // Whether it has answered a look
+    bool answered = false;
+
     // Nothing runs that this agent did not start: earlier lives' runs are stopped first.
     bool clean = false;
     std::set<jobs::RunId> orphans;
@@ -390,9 +396,11 @@
     // The lives before it, the last one at the end: what they still say comes late
     std::deque<LifeId> formerLives;
 
-    // The newest heartbeat of a life that began before the present one, by its own date: it comes
-    // late, or its clock was set back. The endpoint's next answer tells which.
+    // The newest heartbeat of another life, while the present one answers or is the younger by its
+    // date: a late or stray one, or the next life's. The endpoint's answer to the next look tells
+    // which; doubtfulLook is the last look that was ordered before it came.
     std::optional<EndpointReport> doubtful;
+    std::uint64_t doubtfulLook = 0;
     std::uint64_t viewNumber = 1;
     bool stopping = false;
 
@@ -423,6 +431,10 @@
     std::uint64_t refused = 0;
     std::uint64_t unanswered = 0;
     std::uint64_t heartbeatsPassedOver = 0;
+
+    // Lines about them in the second that began then
+    Time passedOverSecond {};
+    std::uint32_t passedOverLines = 0;
 };
 
 struct RunnerActions
--- a/packages/runner/src/answers.cpp
+++ b/packages/runner/src/answers.cpp
@@ -263,6 +263,7 @@
                     change("endpoint-in-reach").with("life", runner.endpoint.life.id));
         runner.life.looksFailed = 0;
         runner.fencedOff = 0;
+        lifeConfirmed(runner, number);
         runner.nextLook = runner.life.clean ? now : now + runner.settings.lookPause;
         takeEnds(runner, look, now, actions);
         takeRunning(runner, number, look, now, actions);
--- a/packages/runner/src/internal.h
+++ b/packages/runner/src/internal.h
@@ -88,6 +88,9 @@
 // A list of runs came from another life than the present one.
 void lifeListed(RunnerState &runner, const LifeId &life, Time now, RunnerActions &actions);
 
+// The present life has answered this look.
+void lifeConfirmed(RunnerState &runner, std::uint64_t look);
+
 // The endpoint says that it is not the present life.
 void lifeDisowned(RunnerState &runner, Time now, RunnerActions &actions);
 
--- a/packages/runner/src/lives.cpp
+++ b/packages/runner/src/lives.cpp
@@ -160,6 +160,13 @@
         describe(runner, *heard, now, actions);
 }
 
+void lifeConfirmed(RunnerState &runner, std::uint64_t look)
+{
+    runner.life.answered = true;
+    if (look > runner.doubtfulLook)
+        runner.doubtful.reset();
+}
+
 void lifeDisowned(RunnerState &runner, Time now, RunnerActions &actions)
 {
     // The endpoint's own word goes before the order in which heartbeats came.
@@ -175,6 +182,17 @@
 
 namespace {
 
+const char *whyNotOfThisLife(const RunnerState &runner, const EndpointReport &report)
+{
+    const EndpointReport &present = runner.endpoint;
+    if (report.sequence < present.sequence)
+        return "older than the last one heard";
+    // One life serves one service, in one place. Taken over from another writer, the number of its
+    // heartbeat would have the endpoint's own ones passed over as well.
+    const bool moved = report.service != present.service || report.dataCentre != present.dataCentre;
+    return runner.life.described && moved ? "a life keeps its service and data centre" : nullptr;
+}
+
 // Why a heartbeat changes nothing; null if it counts.
 const char *whyPassedOver(const RunnerState &runner, const EndpointReport &report)
 {
@@ -182,22 +200,30 @@
     if (present.id.empty())
         return nullptr;
     if (report.life == present)
-        return report.sequence < runner.endpoint.sequence ? "older than the last one heard"
-                                                          : nullptr;
+        return whyNotOfThisLife(runner, report);
     if (isFormerLife(runner, report.life))
         return "of a former life";
     if (report.life.id == present.id && !report.life.born)
         return "it does not say of which life";
     if (report.life.born && present.born && *report.life.born < *present.born)
         return "its life began before the present one";
+    // A report under another id, however whole, must not take out an endpoint that works.
+    if (report.life.id != present.id && runner.life.answered && runner.life.looksFailed == 0)
+        return "the present life answers";
     return nullptr;
 }
 
-// Leaves a trace: the endpoint was answered that it had been heard.
-void passOver(RunnerState &runner, const EndpointReport &report, const char *why,
-              RunnerActions &actions)
+// Leaves a trace, since the endpoint was answered that it had been heard; a few lines a second.
+void logPassedOver(RunnerState &runner, const EndpointReport &report, const char *why, Time now,
+                   RunnerActions &actions)
 {
     ++runner.heartbeatsPassedOver;
+    if (now >= runner.passedOverSecond + Seconds(1)) {
+        runner.passedOverSecond = now;
+        runner.passedOverLines = 0;
+    }
+    if (++runner.passedOverLines > runner.settings.passedOverLines)
+        return;
     actions.events.push_back(change("heartbeat-passed-over")
                                      .with("why", why)
                                      .with("life", report.life.id)
@@ -206,13 +232,21 @@
                                      .with("leaving", report.leaving ? 1 : 0)
                                      .with("present", runner.endpoint.life.id)
                                      .with("present_born_ms", bornField(runner.endpoint.life.born))
-                                     .with("present_sequence", runner.endpoint.sequence));
+                                     .with("present_sequence", runner.endpoint.sequence)
+                                     .with("total", runner.heartbeatsPassedOver));
+}
+
+// Keeps what the endpoint's answer to the next look may show to be the next life.
+void keepDoubtful(RunnerState &runner, const EndpointReport &report)
+{
     if (report.life == runner.endpoint.life || isFormerLife(runner, report.life))
         return;
     const bool older = runner.doubtful && runner.doubtful->life == report.life
             && report.sequence < runner.doubtful->sequence;
-    if (!older)
-        runner.doubtful = report;
+    if (older)
+        return;
+    runner.doubtful = report;
+    runner.doubtfulLook = runner.lookNumber;
 }
 
 } // namespace
@@ -221,7 +255,8 @@
 {
     RunnerActions actions;
     if (const char *why = whyPassedOver(runner, report)) {
-        passOver(runner, report, why, actions);
+        logPassedOver(runner, report, why, now, actions);
+        keepDoubtful(runner, report);
         return actions;
     }
     if (report.life != runner.endpoint.life)
--- a/packages/runner/tests/bench.h
+++ b/packages/runner/tests/bench.h
@@ -110,6 +110,20 @@
         return startTasks(runner, Entry, message, now);
     }
 
+    // Another life comes under another id: its heartbeat, and the endpoint's word that it is not
+    // the one before.
+    RunnerActions replacedBy(const EndpointReport &report)
+    {
+        RunnerActions all = endpointHeard(runner, report, now);
+        Look disowned;
+        disowned.answered.answer = Answer::OtherLife;
+        RunnerActions some = answerLook(disowned);
+        all.updates.insert(all.updates.end(), some.updates.begin(), some.updates.end());
+        return all;
+    }
+
+    RunnerActions replacedBy(const std::string &life) { return replacedBy(makeReport(life, 1)); }
+
     RunnerActions end(std::uint32_t index)
     {
         Look look;
--- a/packages/runner/tests/lives_test.cpp
+++ b/packages/runner/tests/lives_test.cpp
@@ -17,6 +17,7 @@
     [SECTION] Heartbeats
     [SECTION] Ends and clocks
     [SECTION] Runs
+    [SECTION] Strays
 */
 #include "bench.h"
 
@@ -34,7 +35,7 @@
 {
     LongLife()
     {
-        endpointHeard(runner, makeReport("one-id", Born, 40), now);
+        replacedBy(makeReport("one-id", Born, 40));
         settle(Born, clock());
         start(1);
         startAnswered(runner, runId(1), { Answer::Ok, clock() }, now);
@@ -116,10 +117,11 @@
     endpointHeard(bench.runner, makeReport("one-id", BornAgain, 5), bench.now);
     EndpointReport late = makeReport("one-id", GetParam().born, GetParam().sequence);
     late.leaving = true;
+    const std::uint64_t passedOver = bench.runner.heartbeatsPassedOver;
     endpointHeard(bench.runner, late, bench.now);
     EXPECT_FALSE(viewOf(bench.runner, bench.now).leaving);
     EXPECT_EQ(bench.start(2).starts.size(), 1U);
-    EXPECT_EQ(bench.runner.heartbeatsPassedOver, 1U);
+    EXPECT_EQ(bench.runner.heartbeatsPassedOver - passedOver, 1U);
 }
 
 INSTANTIATE_TEST_SUITE_P(Runner, LateHeartbeats,
@@ -216,5 +218,111 @@
     EXPECT_GT(settled.look->fence, before);
 }
 
+// [SECTION] Strays
+
+struct StrayCase
+{
+    const char *name;
+    EndpointReport (*report)();
+};
+
+std::ostream &operator<<(std::ostream &out, const StrayCase &tested)
+{
+    return out << tested.name;
+}
+
+class Strays : public testing::TestWithParam<StrayCase>
+{ };
+
+EndpointReport otherService(EndpointReport report)
+{
+    report.service = "unheard-of";
+    return report;
+}
+
+EndpointReport otherDataCentre(EndpointReport report)
+{
+    report.dataCentre = "elsewhere";
+    return report;
+}
+
+// A heartbeat of another writer, whole as it is, names nothing to use: the endpoint that answers
+// goes on, and its own next heartbeat counts.
+TEST_P(Strays, LeaveTheEndpointThatAnswersInUse)
+{
+    LongLife bench;
+    const RunnerActions heard = endpointHeard(bench.runner, GetParam().report(), bench.now);
+    EXPECT_TRUE(endsIn(heard).empty());
+    Look look = makeLook(Born, bench.clock());
+    look.running = { { runId(1), 20 } };
+    EXPECT_TRUE(endsIn(bench.answerLook(look)).empty());
+    EXPECT_EQ(bench.runner.endpoint.life.id, "one-id");
+    EXPECT_EQ(viewOf(bench.runner, bench.now).service, "align");
+    EXPECT_EQ(bench.start(2).starts.size(), 1U);
+    EndpointReport leaving = makeReport("one-id", Born, 41);
+    leaving.leaving = true;
+    endpointHeard(bench.runner, leaving, bench.now);
+    EXPECT_TRUE(viewOf(bench.runner, bench.now).leaving);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Runner, Strays,
+        testing::Values(
+                StrayCase { "OtherId", [] { return makeReport("other-id", Born + 5000, 900); } },
+                StrayCase { "OtherIdWithoutADate", [] { return makeReport("other-id", 900); } },
+                StrayCase { "OtherIdAndService",
+                            [] { return otherService(makeReport("other-id", 900)); } },
+                StrayCase { "OtherServiceOfThisLife",
+                            [] { return otherService(makeReport("one-id", Born, 900)); } },
+                StrayCase { "OtherDataCentreOfThisLife",
+                            [] { return otherDataCentre(makeReport("one-id", Born, 900)); } },
+                StrayCase { "ThisIdWithoutADate", [] { return makeReport("one-id", 900); } }),
+        [](const auto &tested) { return tested.param.name; });
+
+// It takes over as soon as the one before does not answer, or says that it is another.
+TEST(RunnerStrays, TakeOverWhenTheEndpointDisownsItsLife)
+{
+    LongLife bench;
+    const auto ends = endsIn(bench.replacedBy("other-id"));
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].end, RunEnd::Lost);
+    EXPECT_EQ(bench.runner.endpoint.life.id, "other-id");
+}
+
+TEST(RunnerStrays, TakeOverWhenTheEndpointDoesNotAnswer)
+{
+    LongLife bench;
+    bench.failLook = true;
+    bench.answerLook({});
+    endpointHeard(bench.runner, makeReport("other-id", 1), bench.now);
+    EXPECT_EQ(bench.runner.endpoint.life.id, "other-id");
+}
+
+// A writer that repeats itself must not hide what else the log has to tell.
+TEST(RunnerStrays, FillTheLogWithAFewLinesASecond)
+{
+    LongLife bench;
+    std::size_t lines = 0;
+    for (int i = 0; i < 2000; ++i) {
+        bench.now += Milliseconds(1);
+        lines += endpointHeard(bench.runner, makeReport("other-id", 900), bench.now).events.size();
+    }
+    EXPECT_GE(lines, 2U);
+    EXPECT_LE(lines, 3 * bench.runner.settings.passedOverLines);
+    EXPECT_GE(bench.runner.heartbeatsPassedOver, 2000U);
+}
+
+// What a stray said is not kept for a later time.
+TEST(RunnerStrays, AreForgottenOnceTheEndpointHasAnswered)
+{
+    LongLife bench;
+    endpointHeard(bench.runner, makeReport("other-id", 900), bench.now);
+    bench.settle(Born, bench.clock());
+    Look disowned;
+    disowned.answered.answer = Answer::OtherLife;
+    bench.answerLook(disowned);
+    EXPECT_EQ(bench.runner.endpoint.life.id, "one-id");
+}
+
 } // namespace
 } // namespace foxwing::runner
--- a/packages/runner/tests/orders_test.cpp
+++ b/packages/runner/tests/orders_test.cpp
@@ -165,7 +165,7 @@
     Bench bench;
     bench.start(1);
     bench.start(2);
-    const auto ends = endsIn(endpointHeard(bench.runner, makeReport("life-2", 1), bench.now));
+    const auto ends = endsIn(bench.replacedBy("life-2"));
     ASSERT_EQ(ends.size(), 2U);
     EXPECT_EQ(ends[0].end, RunEnd::Lost);
 }
@@ -185,7 +185,7 @@
 TEST(RunnerLives, ALateHeartbeatOfAFormerLifeChangesNothing)
 {
     Bench bench;
-    endpointHeard(bench.runner, makeReport("life-2", 1), bench.now);
+    bench.replacedBy("life-2");
     bench.answerLook({});
     bench.start(1);
     startAnswered(bench.runner, runId(1), { Answer::Ok, bench.clock() }, bench.now);
@@ -200,7 +200,7 @@
 TEST(RunnerLives, ALifeThatTheEndpointDisownsIsReplacedByAnyHeartbeat)
 {
     Bench bench;
-    endpointHeard(bench.runner, makeReport("life-2", 1), bench.now);
+    bench.replacedBy("life-2");
     Look disowned;
     disowned.answered.answer = Answer::OtherLife;
     bench.failLook = true;
@@ -213,10 +213,11 @@
 TEST(RunnerLives, FormerLivesAreBounded)
 {
     Bench bench;
+    bench.replacedBy("one-id");
     for (int i = 2; i < 100; ++i)
-        endpointHeard(bench.runner, makeReport("life-" + std::to_string(i), 1), bench.now);
+        endpointHeard(bench.runner, makeReport("one-id", i, 1), bench.now);
     EXPECT_EQ(bench.runner.formerLives.size(), bench.runner.settings.mostFormerLives);
-    EXPECT_EQ(bench.runner.formerLives.back().id, "life-98");
+    EXPECT_EQ(bench.runner.formerLives.back(), makeReport("one-id", 98, 1).life);
 }
 
 TEST(RunnerLives, RunsOfAnEarlierAgentAreStoppedBeforeAnythingStarts)
--- a/packages/runner/tests/starting_test.cpp
+++ b/packages/runner/tests/starting_test.cpp
@@ -61,10 +61,8 @@
                             100, RefusedStart::Leaving },
                 StartCase { "AgentStopping", [](Bench &b) { beginStop(b.runner, b.now); }, 100,
                             RefusedStart::Leaving },
-                StartCase {
-                        "NotLookedAtYet",
-                        [](Bench &b) { endpointHeard(b.runner, makeReport("life-2", 1), b.now); },
-                        100, RefusedStart::NotReady },
+                StartCase { "NotLookedAtYet", [](Bench &b) { b.replacedBy("life-2"); }, 100,
+                            RefusedStart::NotReady },
                 StartCase { "OutOfReach",
                             [](Bench &b) {
                                 b.failLook = true;
@@ -240,10 +238,7 @@
                                      return endpointHeard(b.runner, report, b.now);
                                  },
                                  RefusedStart::Leaving },
-                WaitingEndCase { "AnotherLife",
-                                 [](Bench &b) {
-                                     return endpointHeard(b.runner, makeReport("life-2", 1), b.now);
-                                 },
+                WaitingEndCase { "AnotherLife", [](Bench &b) { return b.replacedBy("life-2"); },
                                  RefusedStart::NotReady },
                 WaitingEndCase { "EntryGone",
                                  [](Bench &b) { return closeSession(b.runner, Entry, b.now); },
