Refuse numbers in messages between processes that do not fit their fields

Cause: a number too large for its field was cut down to one that fits, a tenth byte of a number lost bits, any number was an enumerator, and two was true. So damage, or a newer writer's message, passed for a value: the same class as a missing member read as zero.

Change: both codecs check a number against its field; an enumeration in a message names its last enumerator beside it (lastOf), which the compiler asks for.

--- a/packages/agent/include/foxwing/agent/messages.h
+++ b/packages/agent/include/foxwing/agent/messages.h
@@ -52,6 +52,10 @@
     // The endpoint could not be reached at all: certain not to have run.
     Unreachable,
 };
+constexpr TaskEnd lastOf(TaskEnd)
+{
+    return TaskEnd::Unreachable;
+}
 
 // Why an agent did not start a task. Each is a proof that this attempt never will.
 enum class RefusalCause {
@@ -67,6 +71,10 @@
     DeadlinePassed,
     EndpointUnreachable,
 };
+constexpr RefusalCause lastOf(RefusalCause)
+{
+    return RefusalCause::EndpointUnreachable;
+}
 
 // What an agent knows of one task when it is asked by a new owner.
 struct KnownTask
--- a/packages/base/include/foxwing/base/binary.h
+++ b/packages/base/include/foxwing/base/binary.h
@@ -103,11 +103,15 @@
     std::uint64_t readUnsigned()
     {
         std::uint64_t value = 0;
-        for (unsigned shift = 0; shift < 64; shift += 7) {
+        // The tenth byte has room for one more bit.
+        constexpr unsigned LastShift = 63;
+        for (unsigned shift = 0; shift <= LastShift; shift += 7) {
             if (m_rest.empty())
                 break;
             const auto byte = static_cast<unsigned char>(m_rest.front());
             m_rest.remove_prefix(1);
+            if (shift == LastShift && byte > 1)
+                break;
             value |= static_cast<std::uint64_t>(byte & 0x7fU) << shift;
             if (byte < 0x80)
                 return value;
@@ -128,11 +132,10 @@
             const std::string_view raw = takeBytes(sizeof(double));
             if (m_ok)
                 std::memcpy(&value, raw.data(), sizeof(double));
-        } else if constexpr (std::is_same_v<T, bool>) {
-            value = readUnsigned() != 0;
         } else if constexpr (std::is_enum_v<T> || std::is_unsigned_v<T>) {
-            value = static_cast<T>(readUnsigned());
+            value = takeValue<T>();
         } else if constexpr (std::is_integral_v<T>) {
+            static_assert(sizeof(T) == sizeof(std::int64_t), "narrower ones need a check");
             value = static_cast<T>(readSigned());
         } else if constexpr (IsVector<T>::value) {
             readVector(value);
@@ -148,6 +151,15 @@
         return static_cast<std::int64_t>(raw >> 1U) ^ -static_cast<std::int64_t>(raw & 1U);
     }
 
+    // Cut down to the field's type, damage would pass for a value.
+    template<class T>
+    T takeValue()
+    {
+        const std::uint64_t number = readUnsigned();
+        m_ok = m_ok && isValueOf<T>(number);
+        return m_ok ? static_cast<T>(number) : T {};
+    }
+
     std::string_view takeBytes(std::uint64_t size)
     {
         if (size > m_rest.size()) {
--- a/packages/base/include/foxwing/base/codec.h
+++ b/packages/base/include/foxwing/base/codec.h
@@ -20,6 +20,7 @@
     wrong type are errors that name the field.
 
     [SECTION] Writer
+    [SECTION] Ranges
     [SECTION] Reader
     [SECTION] Structs
     [SECTION] Variants
@@ -30,6 +31,7 @@
 #include <chrono>
 #include <cstdint>
 #include <json/json.h>
+#include <limits>
 #include <optional>
 #include <string>
 #include <type_traits>
@@ -61,6 +63,21 @@
     Json::Value m_json { Json::objectValue };
 };
 
+// [SECTION] Ranges
+
+// Whether a number that was read is a value of the field's type. An enumeration in a message needs
+// lastOf() beside it, which names its last enumerator:
+//
+//     constexpr Role lastOf(Role) { return Role::Agent; }
+template<class T>
+constexpr bool isValueOf(std::uint64_t number)
+{
+    if constexpr (std::is_enum_v<T>)
+        return number <= static_cast<std::uint64_t>(lastOf(T {}));
+    else
+        return number <= static_cast<std::uint64_t>(std::numeric_limits<T>::max());
+}
+
 // [SECTION] Reader
 
 class JsonReader
@@ -162,14 +179,17 @@
 template<class T>
 void JsonReader::read(const Json::Value &json, const std::string &path, T &value)
 {
-    if constexpr (std::is_enum_v<T> || (std::is_integral_v<T> && std::is_signed_v<T>)) {
+    if constexpr (std::is_integral_v<T> && std::is_signed_v<T>) {
+        static_assert(sizeof(T) == sizeof(std::int64_t), "narrower ones need a check");
         std::int64_t number = 0;
         readInteger(json, path, number);
         if (m_ok)
             value = static_cast<T>(number);
-    } else if constexpr (std::is_integral_v<T>) {
+    } else if constexpr (std::is_enum_v<T> || std::is_integral_v<T>) {
         std::uint64_t number = 0;
         readUnsigned(json, path, number);
+        if (m_ok && !isValueOf<T>(number))
+            expect(path, "a value that this version knows");
         if (m_ok)
             value = static_cast<T>(number);
     } else {
--- a/packages/base/include/foxwing/base/error.h
+++ b/packages/base/include/foxwing/base/error.h
@@ -27,6 +27,10 @@
     NotRun,
     Unknown,
 };
+constexpr Outcome lastOf(Outcome)
+{
+    return Outcome::Unknown;
+}
 
 // [SECTION] Error
 
@@ -53,6 +57,10 @@
     Unavailable,
     Internal,
 };
+constexpr ErrorKind lastOf(ErrorKind)
+{
+    return ErrorKind::Internal;
+}
 
 struct Error
 {
--- a/packages/claims/include/foxwing/claims/messages.h
+++ b/packages/claims/include/foxwing/claims/messages.h
@@ -65,6 +65,10 @@
     // Only say who has it.
     Look,
 };
+constexpr AskKind lastOf(AskKind)
+{
+    return AskKind::Look;
+}
 
 struct Ask
 {
@@ -103,6 +107,10 @@
     // Not in service here at present.
     Retry,
 };
+constexpr Verdict lastOf(Verdict)
+{
+    return Verdict::Retry;
+}
 
 struct AskAnswer
 {
--- a/packages/directory/include/foxwing/directory/directory.h
+++ b/packages/directory/include/foxwing/directory/directory.h
@@ -37,6 +37,10 @@
     Entry,
     Agent,
 };
+constexpr Role lastOf(Role)
+{
+    return Role::Agent;
+}
 
 const char *toString(Role role);
 
--- a/packages/jobs/include/foxwing/jobs/messages.h
+++ b/packages/jobs/include/foxwing/jobs/messages.h
@@ -110,6 +110,10 @@
     // Certainly never began.
     NeverBegan,
 };
+constexpr RunEnd lastOf(RunEnd)
+{
+    return RunEnd::NeverBegan;
+}
 
 const char *toString(RunEnd end);
 
@@ -129,6 +133,10 @@
     // The data centre is cordoned.
     Cordoned,
 };
+constexpr RefusedStart lastOf(RefusedStart)
+{
+    return RefusedStart::Cordoned;
+}
 
 const char *toString(RefusedStart why);
 
--- a/packages/operators/include/foxwing/operators/operators.h
+++ b/packages/operators/include/foxwing/operators/operators.h
@@ -61,6 +61,10 @@
     Unsure,
     NotFound,
 };
+constexpr OperatorOutcome lastOf(OperatorOutcome)
+{
+    return OperatorOutcome::NotFound;
+}
 
 struct OperatorCall
 {
--- a/packages/quorum/include/foxwing/quorum/messages.h
+++ b/packages/quorum/include/foxwing/quorum/messages.h
@@ -30,6 +30,10 @@
     Empty,
     Members,
 };
+constexpr EntryKind lastOf(EntryKind)
+{
+    return EntryKind::Members;
+}
 
 // Who votes and who only listens. In force from the moment it is in the log.
 struct Members
