--- a/packages/base/include/foxwing/base/guards.h
+++ b/packages/base/include/foxwing/base/guards.h
@@ -1,8 +1,9 @@
 /*
     Switches that break one safety guard each, for tests only.
 
-    A test build defines FOXWING_BROKEN_GUARD as one of the names below; the schedule test must then
-    find a violation. A proof that can't fail proves nothing. Shipped builds leave it undefined.
+    A test build defines FOXWING_BROKEN_GUARD as one of the names below; the schedules, or the
+    fuzzing, must then find a violation. A proof that can't fail proves nothing. Shipped builds
+   leave it undefined.
 
     [SECTION] Guards
 */
@@ -21,6 +22,8 @@
     Sync,
     QuorumCheck,
     CatchUp,
+    WholeReport,
+    WholeList,
 };
 
 #ifdef FOXWING_BROKEN_GUARD
--- /dev/null
+++ b/tests/fuzz/fuzz_test.cpp
@@ -0,0 +1,253 @@
+/*
+    Damaged messages against every reader of the adapter and of the frames between processes: none
+    crashes, hangs or takes memory beyond the message, and what is read is whole. What "whole" means
+    is asked of another JSON reader, so that a check that is left out is found.
+
+    FOXWING_FUZZ_MESSAGES: how many messages a reader gets; FOXWING_FIRST_SEED: the seed.
+
+    [SECTION] Golden messages
+    [SECTION] Oracle
+    [SECTION] Adapter
+    [SECTION] Frames
+*/
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <json/json.h>
+
+#include <foxwing/base/binary.h>
+#include <foxwing/base/guards.h>
+#include <foxwing/platform/dialect.h>
+
+#include "../../packages/fleet/src/messages.h"
+#include "mutations.h"
+
+namespace foxwing::test {
+namespace {
+
+using fabric::http::verb;
+
+std::uint64_t fromEnvironment(const char *name, std::uint64_t otherwise)
+{
+    const char *text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : otherwise;
+}
+
+std::uint64_t messages()
+{
+    return fromEnvironment("FOXWING_FUZZ_MESSAGES", 20000);
+}
+
+std::uint64_t seed()
+{
+    return fromEnvironment("FOXWING_FIRST_SEED", 1);
+}
+
+// [SECTION] Golden messages
+
+const std::vector<std::string> Heartbeats {
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"oviedo","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,"sequence":4})",
+    R"({"born":1790000000123,"service":"s","address":"10.0.0.9:1","zone":"z","version":"","slots":0,"state":"draining","remaining_ms":3500,"cold_remaining_ms":9,"capacity":{"cpu":1,"mem_mb":1},"labels":[],"clock_ms":0,"sequence":1})",
+};
+
+const std::vector<std::string> Lists {
+    R"({"clock_ms":482113,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41,12],["x.0.0.1",1,"",0]],"ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"x.0.0.2",3,"failed",""]]})",
+    R"({"born":1790000000123,"clock_ms":1,"running":[],"ended":[]})",
+};
+
+const std::vector<std::string> Jobs {
+    R"x({"spec":"(text)","best_effort":true,"steps":[{"count":4,"cpu":500,"mem_mb":256,"estimated_ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,"mem_mb":1024,"estimated_ms":7000,"after":[0]}]})x",
+};
+
+const std::vector<std::string> Catalogs {
+    R"({"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/l/","route_type":"unsafe","timeout_ms":1500,"target_latency_ms":60,"priority":0,"service":"s","max_attempts":2,"stretch":1.6}],"services":[{"name":"s","max_connections":64,"enforces_capacity":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}})",
+};
+
+fabric::Request makeRequest(verb method, const std::string &target, const std::string &body)
+{
+    fabric::Request request(method, target, 11);
+    request.set(fabric::http::field::host, "h.example");
+    request.body() = body;
+    return request;
+}
+
+// [SECTION] Oracle
+
+std::optional<Json::Value> parse(const std::string &text)
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["rejectDupKeys"] = false;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value json;
+    std::string errors;
+    if (!reader->parse(text.data(), text.data() + text.size(), &json, &errors))
+        return std::nullopt;
+    return json;
+}
+
+bool isWholeHeartbeat(const Json::Value &json)
+{
+    const auto isText = [&](const char *name) { return json[name].isString(); };
+    const auto isNumber = [&](const char *name) { return json[name].isUInt64(); };
+    const std::string state = isText("state") ? json["state"].asString() : "";
+    const Json::Value &capacity = json["capacity"];
+    return isText("service") && !json["service"].asString().empty() && isText("address")
+            && isText("zone") && isText("version") && isNumber("slots")
+            && isNumber("cold_remaining_ms") && isNumber("clock_ms") && isNumber("sequence")
+            && json["labels"].isArray() && (state == "ready" || state == "draining")
+            && capacity.isObject() && capacity["cpu"].isUInt64() && capacity["mem_mb"].isUInt64();
+}
+
+// Of a build with a broken check the fuzzing must find a message that shows it.
+void expectFound(std::uint64_t found, const std::string &example, Guard guard)
+{
+    EXPECT_EQ(found == 0, holds(guard)) << found << " messages, the last: " << example;
+}
+
+// [SECTION] Adapter
+
+TEST(Fuzz, HeartbeatsAreWholeOrRefused)
+{
+    Mutator mutator(seed(), Heartbeats);
+    std::uint64_t half = 0;
+    std::string example;
+    std::uint64_t read = 0;
+    for (std::uint64_t i = 0; i < messages(); ++i) {
+        const std::string body = mutator.next();
+        Error reason;
+        const auto call = platform::dialect().readEndpointCall(makeRequest(verb::put,
+                                                                           "/instances/i-1", body),
+                                                               &reason);
+        if (!call) {
+            EXPECT_FALSE(reason.message.empty()) << body;
+            continue;
+        }
+        ++read;
+        const auto json = parse(body);
+        if (!json || isWholeHeartbeat(*json))
+            continue;
+        ++half;
+        example = body;
+    }
+    // Damage that leaves the message whole is rare, and there.
+    EXPECT_GT(read, messages() / 1000);
+    expectFound(half, example, Guard::WholeReport);
+}
+
+TEST(Fuzz, ListsOfRunsAreWholeOrNone)
+{
+    Mutator mutator(seed(), Lists);
+    std::uint64_t half = 0;
+    std::string example;
+    std::uint64_t read = 0;
+    for (std::uint64_t i = 0; i < messages(); ++i) {
+        const std::string body = mutator.next();
+        const runner::Look look = platform::dialect().readLook(
+                fabric::makeResponse(200, "application/json", body));
+        if (look.answered.answer != runner::Answer::Ok) {
+            EXPECT_TRUE(look.running.empty() && look.ended.empty()) << body;
+            continue;
+        }
+        ++read;
+        const auto json = parse(body);
+        const bool whole = !json
+                || ((*json)["running"].isArray() && (*json)["ended"].isArray()
+                    && (*json)["running"].size() == look.running.size()
+                    && (*json)["ended"].size() == look.ended.size());
+        if (whole)
+            continue;
+        ++half;
+        example = body;
+    }
+    EXPECT_GT(read, messages() / 1000);
+    expectFound(half, example, Guard::WholeList);
+}
+
+// Callers' and operators' messages, and answers to orders: read or refused with a reason.
+TEST(Fuzz, OtherReadersRefuseWithAReason)
+{
+    Mutator jobs(seed(), Jobs);
+    Mutator catalogs(seed(), Catalogs);
+    Mutator answers(seed(), { R"({"clock_ms":482113,"reason":"fence"})", R"({"clock_ms":1})" });
+    for (std::uint64_t i = 0; i < messages(); ++i) {
+        Error reason;
+        const std::string job = jobs.next();
+        const bool readJob = platform::dialect()
+                                     .readJob(makeRequest(verb::post, "/l/5c0e7a21d94b36f8", job),
+                                              "5c0e7a21d94b36f8", &reason)
+                                     .has_value();
+        EXPECT_EQ(reason.message.empty(), readJob) << job;
+        const std::string catalog = catalogs.next();
+        reason = Error();
+        const bool readCatalog = platform::dialect()
+                                         .readOperatorCall(makeRequest(verb::put, "/config",
+                                                                       catalog),
+                                                           &reason)
+                                         .has_value();
+        EXPECT_EQ(reason.message.empty(), readCatalog) << catalog;
+        platform::dialect().readAnswer(
+                fabric::makeResponse(i % 2 == 0 ? 200 : 409, "application/json", answers.next()));
+    }
+}
+
+// [SECTION] Frames
+
+jobs::EndpointView makeView()
+{
+    jobs::EndpointView view;
+    view.life = "i-1";
+    view.service = "s";
+    view.labels = { "a", "b" };
+    view.capacity = { 16000, 32768, 1 };
+    return view;
+}
+
+std::vector<std::string> goldenFrames()
+{
+    jobs::AgentUpdate update;
+    update.endpoint = { makeView() };
+    update.ended = { { { { "job", 0, 1, 2 }, 3 }, jobs::RunEnd::Lost, {}, Milliseconds(5) } };
+    jobs::StartTasks start;
+    start.job = "5c0e7a21d94b36f8";
+    start.payload = "(text)";
+    start.starts = { { 1, 2 }, { 3, 4 } };
+    fleet::AgreedPush push;
+    push.cordons = { 7, { "north", "south" } };
+    jobs::Welcome welcome;
+    welcome.endpoint = makeView();
+    std::vector<std::string> frames;
+    for (const fleet::Frame &frame :
+         { fleet::Frame(update), fleet::Frame(start), fleet::Frame(push), fleet::Frame(welcome),
+           fleet::Frame(
+                   directory::Announce { { "n", directory::Role::Agent, "10.0.0.1:1", 9, "" } }),
+           fleet::Frame(fleet::OpenSession { "entry-1", { push.cordons } }),
+           fleet::Frame(jobs::StopRuns { { { { "job", 0, 0, 1 }, 1 } } }),
+           fleet::Frame(fleet::ForwardAnswer { 3, fleet::OperatorOutcome::Unsure, "r", {} }) })
+        frames.push_back(encodeFrame(frame));
+    return frames;
+}
+
+// What is read says the same when it is written and read again: no value was made up on the way.
+TEST(Fuzz, FramesAreReadAsTheySayOrNotAtAll)
+{
+    Mutator mutator(seed(), goldenFrames());
+    std::uint64_t read = 0;
+    for (std::uint64_t i = 0; i < messages(); ++i) {
+        const std::string bytes = mutator.next();
+        Error reason;
+        const auto frame = decodeFrame<fleet::Frame>(bytes, &reason);
+        if (!frame) {
+            EXPECT_FALSE(reason.message.empty());
+            continue;
+        }
+        ++read;
+        const std::string written = encodeFrame(*frame);
+        const auto again = decodeFrame<fleet::Frame>(written, &reason);
+        ASSERT_TRUE(again) << reason.message;
+        ASSERT_EQ(encodeFrame(*again), written);
+    }
+    EXPECT_GT(read, messages() / 1000);
+}
+
+} // namespace
+} // namespace foxwing::test
