Schedules: two disks lost and all power gone at one moment, after an acknowledgement

Change: a schedule of five hosts that strikes right after an acknowledgement; the run of a schedule is split into starting, chaos and healing, which both share.

--- a/tests/agreement/agreement_test.cpp
+++ b/tests/agreement/agreement_test.cpp
@@ -333,6 +333,13 @@
     host.restartAt = world.now + Milliseconds(between(world, 20, 2500));
 }
 
+void loseDisk(Host &host)
+{
+    host.lostDisk = true;
+    host.disk = {};
+    host.applied.clear();
+}
+
 void breakSomething(World &world)
 {
     auto victim = world.hosts.begin();
@@ -345,10 +352,8 @@
             crash(world, item.second);
     } else if (kind == 1 && !world.diskLost) {
         world.diskLost = true;
-        host.lostDisk = true;
         crash(world, host);
-        host.disk = {};
-        host.applied.clear();
+        loseDisk(host);
     } else if (kind < 4 && host.state) {
         crash(world, host);
     } else if (kind < 5) {
@@ -433,13 +438,8 @@
         world.violations.push_back("the group did not go on after all had healed");
 }
 
-World runSchedule(std::uint64_t seed)
+void startAll(World &world, const std::vector<std::string> &voters)
 {
-    World world;
-    world.random.seed(seed);
-    const std::vector<std::string> voters = seed % 3 == 0
-            ? std::vector<std::string> { "a", "b", "c", "d", "e" }
-            : std::vector<std::string> { "a", "b", "c" };
     for (const std::string &id : voters) {
         world.hosts[id].id = id;
         // A first start is synced before anything else happens.
@@ -447,21 +447,75 @@
         world.hosts[id].disk.vote.joined = true;
         startHost(world, world.hosts[id], voters);
     }
-    const Time healAt = world.now + ChaosSpan;
-    const Time end = healAt + HealSpan;
+}
+
+void step(World &world)
+{
+    deliverDue(world, world.now + TickInterval);
+    tickWorld(world);
+}
+
+// Chaos until then.
+void runChaos(World &world, Time until)
+{
+    while (world.now < until) {
+        step(world);
+        actRandomly(world);
+    }
+}
+
+// All has healed; the group must go on, with everything that was acknowledged.
+void runToTheEnd(World &world)
+{
+    world.chaos = false;
+    world.cut.clear();
+    const Time end = world.now + HealSpan;
     while (world.now < end) {
-        deliverDue(world, world.now + TickInterval);
-        tickWorld(world);
-        if (world.chaos)
-            actRandomly(world);
-        if (world.chaos && world.now >= healAt) {
-            world.chaos = false;
-            world.cut.clear();
-        }
+        step(world);
         if (world.now >= end - Milliseconds(1000))
             proposeSomething(world);
     }
     checkEnd(world);
+}
+
+const std::vector<std::string> ThreeVoters { "a", "b", "c" };
+const std::vector<std::string> FiveVoters { "a", "b", "c", "d", "e" };
+
+World runSchedule(std::uint64_t seed)
+{
+    World world;
+    world.random.seed(seed);
+    startAll(world, seed % 3 == 0 ? FiveVoters : ThreeVoters);
+    runChaos(world, world.now + ChaosSpan);
+    runToTheEnd(world);
+    return world;
+}
+
+// Right after an acknowledgement two of five lose their disks, and all others lose power at that
+// moment.
+World runFinalFault(std::uint64_t seed)
+{
+    World world;
+    world.random.seed(seed);
+    // No disk is lost and no host replaced before: no more than two of five are borne.
+    world.diskLost = true;
+    world.replacements = 2;
+    startAll(world, FiveVoters);
+    runChaos(world, world.now + ChaosSpan);
+    world.cut.clear();
+    const Time latest = world.now + HealSpan;
+    const std::size_t before = world.acknowledged.size();
+    while (world.acknowledged.size() == before && world.now < latest) {
+        step(world);
+        proposeSomething(world);
+    }
+    std::vector<std::string> hosts = FiveVoters;
+    std::shuffle(hosts.begin(), hosts.end(), world.random);
+    for (const std::string &id : hosts)
+        crash(world, world.hosts[id]);
+    for (std::size_t i = 0; i < 2; ++i)
+        loseDisk(world.hosts[hosts[i]]);
+    runToTheEnd(world);
     return world;
 }
 
@@ -518,5 +572,25 @@
     }
 }
 
+// What a majority has on its disks outlasts the loss of two disks and of all power at one moment.
+TEST(Agreement, AcknowledgedOutlastsDisksAndPowerLostAtOnce)
+{
+    // Of the broken guards only a missing sync loses what was acknowledged.
+    if (BrokenGuard != Guard::None && BrokenGuard != Guard::Sync)
+        return;
+    const std::uint64_t count = numberFrom("FOXWING_SCHEDULES", 2000) / 50;
+    const std::uint64_t first = numberFrom("FOXWING_SEED", 1);
+    std::size_t acknowledged = 0;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        const World world = runFinalFault(seed);
+        acknowledged += world.acknowledged.size();
+        if (!holds(Guard::Sync) && !world.violations.empty())
+            return;
+        ASSERT_TRUE(world.violations.empty()) << "seed " << seed << ": " << world.violations[0];
+    }
+    EXPECT_TRUE(holds(Guard::Sync)) << "the missing sync was not noticed";
+    EXPECT_GT(acknowledged, count * 10);
+}
+
 } // namespace
 } // namespace foxwing::quorum
