Show endpoints whose service no queue names; log what a life says of itself

Cause: an endpoint of a service that no catalog names was given nothing, as it should be, and nowhere shown. The line endpoint-life no longer told the service, since a life may be told by a list of runs.

Change: foxwing_endpoints_without_queue at entries, by catalog::isUsed; endpoint-described (service, data centre, room) with a life's first heartbeat.

Tests: CatalogServices; that nothing is placed there was tested already (SuitCase "OtherService"). No decision changes.

--- a/packages/catalog/include/foxwing/catalog/catalog.h
+++ b/packages/catalog/include/foxwing/catalog/catalog.h
@@ -146,4 +146,7 @@
 const QueueDeclaration *findQueue(const Catalog &catalog, const std::string &host,
                                   const std::string &path);
 
+// Whether a queue sends its tasks to endpoints of this service.
+bool isUsed(const Catalog &catalog, const std::string &service);
+
 } // namespace foxwing::catalog
--- a/packages/catalog/src/catalog.cpp
+++ b/packages/catalog/src/catalog.cpp
@@ -6,6 +6,8 @@
 */
 #include <foxwing/catalog/catalog.h>
 
+#include <algorithm>
+
 #include <set>
 
 namespace foxwing::catalog {
@@ -92,4 +94,10 @@
     return best;
 }
 
+bool isUsed(const Catalog &catalog, const std::string &service)
+{
+    return std::any_of(catalog.queues.begin(), catalog.queues.end(),
+                       [&](const QueueDeclaration &queue) { return queue.service == service; });
+}
+
 } // namespace foxwing::catalog
--- a/packages/catalog/tests/catalog_test.cpp
+++ b/packages/catalog/tests/catalog_test.cpp
@@ -135,5 +135,21 @@
                                          LookupCase { "NoPath", "a.example", "/z/1", "" }),
                          [](const auto &tested) { return tested.param.name; });
 
+// An endpoint of a service that no queue names waits for a catalog that names it, and is put aside
+// when the next one does not.
+TEST(CatalogServices, AreUsedWhileAQueueNamesThem)
+{
+    Catalog catalog;
+    EXPECT_FALSE(isUsed(catalog, "align"));
+    QueueDeclaration queue;
+    queue.service = "align";
+    catalog.queues = { queue };
+    EXPECT_TRUE(isUsed(catalog, "align"));
+    EXPECT_FALSE(isUsed(catalog, "tag"));
+    EXPECT_FALSE(isUsed(catalog, ""));
+    catalog.queues[0].service = "tag";
+    EXPECT_FALSE(isUsed(catalog, "align"));
+}
+
 } // namespace
 } // namespace foxwing::catalog
--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -81,6 +81,7 @@
     void agentConnected(const std::string &address, const std::shared_ptr<fabric::Link> &link);
     void agentReceived(const std::string &address, std::string_view bytes);
     void agentClosed(const std::string &address);
+    std::size_t endpointsWithoutQueue() const;
     void forgetAgents(const std::set<std::string> &listed);
 
     // Control
@@ -483,6 +484,16 @@
             || (quiet && now >= m_stopBegan + grace - LastJobs);
 }
 
+std::size_t EntryShell::endpointsWithoutQueue() const
+{
+    const auto unused = [this](const auto &item) {
+        const jobs::EndpointView &endpoint = item.second.endpoint;
+        return !endpoint.service.empty() && !catalog::isUsed(m_catalog, endpoint.service);
+    };
+    return static_cast<std::size_t>(
+            std::count_if(m_scheduler.agents.begin(), m_scheduler.agents.end(), unused));
+}
+
 std::vector<metrics::Sample> EntryShell::samples() const
 {
     const scheduler::SchedulerCounters &counters = m_scheduler.counters;
@@ -511,6 +522,8 @@
     gauge("foxwing_jobs_open", "Jobs not answered yet", scheduler::openJobs(m_scheduler));
     gauge("foxwing_jobs_waiting", "Jobs with tasks that wait", m_scheduler.queue.size());
     gauge("foxwing_agents", "Agents in touch", m_scheduler.agents.size());
+    gauge("foxwing_endpoints_without_queue", "Endpoints whose service no queue names",
+          endpointsWithoutQueue());
     gauge("foxwing_control_hosts", "Control hosts in touch", m_control.connected());
     gauge("foxwing_catalog_version", "Catalog in force", m_catalog.version);
     return samples;
--- a/packages/runner/src/lives.cpp
+++ b/packages/runner/src/lives.cpp
@@ -136,7 +136,13 @@
 void describe(RunnerState &runner, const EndpointReport &report, Time now, RunnerActions &actions)
 {
     const EndpointReport before = std::exchange(runner.endpoint, report);
-    runner.life.described = true;
+    if (!std::exchange(runner.life.described, true))
+        actions.events.push_back(change("endpoint-described")
+                                         .with("life", report.life.id)
+                                         .with("service", report.service)
+                                         .with("data_centre", report.dataCentre)
+                                         .with("milli_cores", report.capacity.milliCores)
+                                         .with("megabytes", report.capacity.megabytes));
     const bool sameView = before.leaving == report.leaving && before.labels == report.labels
             && before.capacity == report.capacity && before.service == report.service
             && before.dataCentre == report.dataCentre;
