--- a/packages/catalog/src/catalog.cpp
+++ b/packages/catalog/src/catalog.cpp
@@ -7,7 +7,6 @@
 #include <foxwing/catalog/catalog.h>
 
 #include <algorithm>
-
 #include <set>
 
 namespace foxwing::catalog {
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -185,7 +185,7 @@
             return [Process(options.daemon, folder, role, number + 1, seeds, block)
                     for number in range(count)]
 
-        self.entries, self.agents = make("entry", ENTRIES), make("agent", AGENTS)
+        self.entries, self.agents = make("entry", options.entries), make("agent", options.agents)
         self.controls = make("control", CONTROLS)
         self.endpoints = [standins.Endpoint(agent.number, agent.endpoint, agent.port, ledger, CAPACITY)
                           for agent in self.agents]
@@ -383,6 +383,8 @@
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--block", type=int, default=0, choices=range(20),
                         help="a range of loopback addresses, so that several can run side by side")
+    parser.add_argument("--entries", type=int, default=ENTRIES)
+    parser.add_argument("--agents", type=int, default=AGENTS, help="with 100, some 120 processes")
     parser.add_argument("--folder", help="keeps logs here; a temporary one if left out")
     options = parser.parse_args()
     folder = options.folder or tempfile.mkdtemp(prefix="foxwing-soak-")
