--- /dev/null
+++ b/tests/fuzz/frames_test.cpp
@@ -0,0 +1,77 @@
+/*
+    Damaged frames between processes: none crashes, hangs or takes memory beyond the frame, and what
+    is read says the same when it is written again.
+
+    [SECTION] Frames
+*/
+#include <gtest/gtest.h>
+
+#include <foxwing/base/binary.h>
+
+#include "../../packages/fleet/src/messages.h"
+#include "mutations.h"
+
+namespace foxwing::test {
+namespace {
+
+// [SECTION] Frames
+
+jobs::EndpointView makeView()
+{
+    jobs::EndpointView view;
+    view.life = "i-1";
+    view.service = "s";
+    view.labels = { "a", "b" };
+    view.capacity = { 16000, 32768, 1 };
+    return view;
+}
+
+std::vector<std::string> goldenFrames()
+{
+    jobs::AgentUpdate update;
+    update.endpoint = { makeView() };
+    update.ended = { { { { "job", 0, 1, 2 }, 3 }, jobs::RunEnd::Lost, {}, Milliseconds(5) } };
+    jobs::StartTasks start;
+    start.job = "5c0e7a21d94b36f8";
+    start.payload = "(text)";
+    start.starts = { { 1, 2 }, { 3, 4 } };
+    fleet::AgreedPush push;
+    push.cordons = { 7, { "north", "south" } };
+    jobs::Welcome welcome;
+    welcome.endpoint = makeView();
+    std::vector<std::string> frames;
+    for (const fleet::Frame &frame :
+         { fleet::Frame(update), fleet::Frame(start), fleet::Frame(push), fleet::Frame(welcome),
+           fleet::Frame(
+                   directory::Announce { { "n", directory::Role::Agent, "10.0.0.1:1", 9, "" } }),
+           fleet::Frame(fleet::OpenSession { "entry-1", { push.cordons } }),
+           fleet::Frame(jobs::StopRuns { { { { "job", 0, 0, 1 }, 1 } } }),
+           fleet::Frame(fleet::ForwardAnswer { 3, fleet::OperatorOutcome::Unsure, "r", {} }) })
+        frames.push_back(encodeFrame(frame));
+    return frames;
+}
+
+// What is read says the same when it is written and read again: no value was made up on the way.
+TEST(Fuzz, FramesAreReadAsTheySayOrNotAtAll)
+{
+    Mutator mutator(fuzzSeed(), goldenFrames());
+    std::uint64_t read = 0;
+    for (std::uint64_t i = 0; i < fuzzMessages(); ++i) {
+        const std::string bytes = mutator.next();
+        Error reason;
+        const auto frame = decodeFrame<fleet::Frame>(bytes, &reason);
+        if (!frame) {
+            EXPECT_FALSE(reason.message.empty());
+            continue;
+        }
+        ++read;
+        const std::string written = encodeFrame(*frame);
+        const auto again = decodeFrame<fleet::Frame>(written, &reason);
+        ASSERT_TRUE(again) << reason.message;
+        ASSERT_EQ(encodeFrame(*again), written);
+    }
+    EXPECT_GT(read, fuzzMessages() / 1000);
+}
+
+} // namespace
+} // namespace foxwing::test
--- a/tests/fuzz/mutations.cpp
+++ b/tests/fuzz/mutations.cpp
@@ -1,13 +1,38 @@
 /*
     Damage to messages.
 
+    [SECTION] Settings
     [SECTION] Values
     [SECTION] Mutator
 */
 #include "mutations.h"
 
+#include <cstdlib>
+
 namespace foxwing::test {
 
+// [SECTION] Settings
+
+namespace {
+
+std::uint64_t fromEnvironment(const char *name, std::uint64_t otherwise)
+{
+    const char *text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : otherwise;
+}
+
+} // namespace
+
+std::uint64_t fuzzMessages()
+{
+    return fromEnvironment("FOXWING_FUZZ_MESSAGES", 20000);
+}
+
+std::uint64_t fuzzSeed()
+{
+    return fromEnvironment("FOXWING_FIRST_SEED", 1);
+}
+
 // [SECTION] Values
 
 namespace {
--- a/tests/fuzz/mutations.h
+++ b/tests/fuzz/mutations.h
@@ -4,6 +4,7 @@
         Mutator mutator(seed, goldenTexts);
         std::string odd = mutator.next();
 
+    [SECTION] Settings
     [SECTION] Mutator
 */
 #pragma once
@@ -14,6 +15,13 @@
 
 namespace foxwing::test {
 
+// [SECTION] Settings
+
+// How many messages a reader gets (FOXWING_FUZZ_MESSAGES, or 20,000), and the seed
+// (FOXWING_FIRST_SEED, or 1).
+std::uint64_t fuzzMessages();
+std::uint64_t fuzzSeed();
+
 // [SECTION] Mutator
 
 // Takes one of the golden messages and damages it up to three times: members dropped, repeated or
