--- a/tests/fuzz/mutations.cpp
+++ b/tests/fuzz/mutations.cpp
@@ -92,12 +92,12 @@
 void Mutator::damage(std::string &text)
 {
     using Way = void (Mutator::*)(std::string &);
-    static const std::vector<Way> Ways { &Mutator::replaceValue, &Mutator::replaceValue,
+    static const std::vector<Way> ways { &Mutator::replaceValue, &Mutator::replaceValue,
                                          &Mutator::dropMember,   &Mutator::dropMember,
                                          &Mutator::cutSpan,      &Mutator::repeatSpan,
                                          &Mutator::changeByte,   &Mutator::splice,
                                          &Mutator::nest };
-    (this->*Ways[below(Ways.size())])(text);
+    (this->*ways[below(ways.size())])(text);
 }
 
 void Mutator::replaceValue(std::string &text)
