Every control host votes, so that any majority of them can agree

Cause: a group took seven voters at the most. Of ten control hosts, four may then be lost that are all voters: three of seven are left, and nothing is agreed on while six of ten hosts are up and connected. The rule holds only while there are no more than seven hosts.

Change: every host that is there votes. A silent voter is removed after 1.5 s only where those left could not bear the tolerated losses, and after 30 s otherwise: a host that is merely starting again would have to learn first, and until then the group hung on fewer hosts.

Ruled out: a larger constant in place of seven (wrong again at twice the size); voters only in odd numbers (a host that never votes has to be kept apart for nothing: with ten voters six are needed, which is the rule itself).

--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -44,9 +44,6 @@
 // calls that came in the 0.16 to 0.22 s after a restart of everything found no catalog.
 constexpr Milliseconds FirstElectionSpan { 20 };
 
-// Voters beyond those that the tolerated losses need: hosts on their way in while others leave.
-constexpr std::size_t SpareVoters = 2;
-
 // The members of the group are looked over this often.
 constexpr Milliseconds MembersInterval { 200 };
 
@@ -328,8 +325,6 @@
     settings.quorum.firstVoters = firstVotersFor(m_core.settings, m_core.self.groupId);
     settings.quorum.selfManaged = true;
     settings.quorum.leastVoters = 2 * m_core.settings.toleratedLosses + 1;
-    settings.quorum.mostVoters = std::max(settings.quorum.mostVoters,
-                                          settings.quorum.leastVoters + SpareVoters);
     settings.quorum.electionSpan = ElectionSpan;
     settings.quorum.firstElectionSpan = FirstElectionSpan;
     settings.quorum.heartbeatInterval = HeartbeatInterval;
--- a/packages/quorum/include/foxwing/quorum/quorum.h
+++ b/packages/quorum/include/foxwing/quorum/quorum.h
@@ -66,16 +66,21 @@
     // restart or cut that a host is to return from.
     Milliseconds forgetLearnerAfter { 20000 };
 
-    // A voter that was not heard for this long is removed if leastVoters others are there: a host
-    // that was replaced must not count among those that may be lost. One that comes back is brought
-    // in again. Above a heartbeat that is lost and sent again by the kernel (1 s), and well under
-    // the 4 s after which the users count a replacement in full.
+    // Every host that is there votes, so that the group goes on whenever more than half of them
+    // are up and connected. A voter that was not heard for this long is removed if those that are
+    // left could not bear the loss of leastVoters / 2 more, and leastVoters are left: a host that
+    // was replaced must not count among those that may be lost. One that comes back is brought in
+    // again. Above a heartbeat that is lost and sent again by the kernel (1 s), and well under the
+    // 4 s after which the users count a replacement in full.
     Milliseconds dropSpareAfter { 1500 };
 
+    // Where that loss can be borne, a silent voter is removed after this: it may only be starting
+    // again, and until it votes anew the group would hang on fewer hosts.
+    Milliseconds dropIdleAfter { 30000 };
+
     // Voters that a self-managed group keeps, however long they are silent: with five, two may be
     // lost at once.
     std::size_t leastVoters = 5;
-    std::size_t mostVoters = 7;
 };
 
 // [SECTION] State
--- a/packages/quorum/src/members.cpp
+++ b/packages/quorum/src/members.cpp
@@ -136,13 +136,16 @@
 // A voter that is away, with enough others there.
 bool isSpare(const QuorumState &quorum, const std::string &id, Time now)
 {
-    const Milliseconds span = quorum.settings.dropSpareAfter;
-    const auto there = std::count_if(quorum.members.voters.begin(), quorum.members.voters.end(),
-                                     [&](const std::string &voter) {
-                                         return heardWithin(quorum, voter, span, now);
-                                     });
-    return !heardWithin(quorum, id, span, now)
-            && static_cast<std::size_t>(there) >= quorum.settings.leastVoters;
+    const QuorumSettings &settings = quorum.settings;
+    const std::vector<std::string> &voters = quorum.members.voters;
+    const auto there = static_cast<std::size_t>(
+            std::count_if(voters.begin(), voters.end(), [&](const std::string &voter) {
+                return heardWithin(quorum, voter, settings.dropSpareAfter, now);
+            }));
+    const std::size_t majority = voters.size() / 2 + 1;
+    const bool bearsMore = there >= majority + settings.leastVoters / 2;
+    const Milliseconds span = bearsMore ? settings.dropIdleAfter : settings.dropSpareAfter;
+    return !heardWithin(quorum, id, span, now) && there >= settings.leastVoters;
 }
 
 bool isCandidate(const std::string &id, const std::vector<Candidate> &candidates)
@@ -166,7 +169,6 @@
     if (!mayChangeNow)
         return std::nullopt;
     Members members = quorum.members;
-    const std::size_t count = members.voters.size();
     for (const std::string &id : members.voters) {
         if (id == quorum.settings.self
             || (!isReplaced(id, candidates) && !isSpare(quorum, id, now)))
@@ -182,8 +184,7 @@
             || !heardWithin(quorum, id, quorum.settings.forgetLearnerAfter, now))
             return changed;
         changed.voters.push_back(id);
-        if (caughtUp(quorum, id) && isCandidate(id, candidates)
-            && count < quorum.settings.mostVoters)
+        if (caughtUp(quorum, id) && isCandidate(id, candidates))
             return changed;
     }
     for (const Candidate &candidate : candidates) {
--- a/packages/quorum/tests/members_test.cpp
+++ b/packages/quorum/tests/members_test.cpp
@@ -144,9 +144,37 @@
                         SilenceCase { "SixAfterAReplacement", 6, 1, Seconds(2), true },
                         SilenceCase { "SixForAMoment", 6, 1, Milliseconds(1400), false },
                         SilenceCase { "SixWithTwoAway", 6, 2, Seconds(60), false },
-                        SilenceCase { "SevenWithTwoAway", 7, 2, Seconds(60), true }),
+                        SilenceCase { "SevenWithTwoAway", 7, 2, Seconds(60), true },
+                        SilenceCase { "SevenWithTwoAwayForAMoment", 7, 2, Seconds(2), true },
+                        SilenceCase { "TenWithOneAwayForAMoment", 10, 1, Seconds(2), false },
+                        SilenceCase { "TenWithTwoAwayForAMoment", 10, 2, Seconds(2), false },
+                        SilenceCase { "TenWithThreeAway", 10, 3, Seconds(2), true },
+                        SilenceCase { "TenWithOneAwayForLong", 10, 1, Seconds(31), true }),
         [](const auto &tested) { return tested.param.name; });
 
+// Three seeds found the group and the others are brought in, until all vote: any majority of the
+// hosts is then one of the voters.
+TEST(QuorumMembers, EveryHostThatIsThereVotesInTheEnd)
+{
+    constexpr std::size_t Hosts = 10;
+    std::vector<std::string> hosts;
+    for (std::size_t i = 0; i < Hosts; ++i)
+        hosts.push_back("host-" + std::to_string(i) + "/1");
+    QuorumState quorum = makeLeader({ hosts[0], hosts[1], hosts[2] });
+    for (const std::string &host : hosts) {
+        quorum.peers[host].heardAt = Now;
+        quorum.peers[host].match = quorum.commit;
+    }
+    for (std::size_t change = 0; change < 3 * Hosts; ++change) {
+        const auto members = adviseMembers(quorum, candidates(hosts), Now);
+        if (!members)
+            break;
+        quorum.members = *members;
+    }
+    EXPECT_EQ(quorum.members.voters.size(), Hosts);
+    EXPECT_TRUE(quorum.members.learners.empty());
+}
+
 TEST(QuorumMembers, NothingChangesWhileAChangeIsUnderWayOrElsewhere)
 {
     QuorumState quorum = makeLeader({ "a/1", "b/1", "c/1" });
