Entries work with a subset of agents, most of it at home

Cause: each entry held a session with each agent, with a beat and its answer ten times a second, work or not.

Change: a slice of its own (packages/subset) chooses 64 agents of each service by rendezvous hashing, three quarters in the entry's data centre and the rest elsewhere. With few entries it takes more, so that some eight entries reach each agent; up to half as many again are taken whole, so small fleets keep what they had. It grows in steps while work finds no room, replaces agents that are out of reach for a second or cordoned, adds those that a job needs by label, rack or size, and gives up idle sessions later. Nodes announce their data centre and their endpoint, so that entries know of agents without a session. A control host that is no peer any more no longer lists agents; the lists of all hosts are kept by agent, not copied at each piece of news (10 x 800 inserts each). The promises' silence bounds are as they were.

Ruled out: beats seldom where nothing runs. A start on a session that was not heard for long could have been held up by a cut, and would need a round trip first; and the sessions still grow with the fleet.

--- a/packages/directory/include/foxwing/directory/directory.h
+++ b/packages/directory/include/foxwing/directory/directory.h
@@ -26,7 +26,7 @@
 #include <string>
 #include <vector>
 
-#include <foxwing/base/time.h>
+#include <foxwing/jobs/job.h>
 
 namespace foxwing::directory {
 
@@ -58,6 +58,13 @@
 
     // Control only: its id in the agreement group
     std::string groupId;
+    std::string dataCentre;
+
+    // Agents only, once their endpoint has said it: what it serves, its labels, and its room. Room
+    // that changes later is not told anew; entries in touch with the agent hear of it there.
+    std::string service;
+    std::vector<std::string> labels;
+    jobs::Room capacity;
 };
 template<class Fields>
 void describe(Fields &fields, NodeInfo &node)
@@ -67,8 +74,15 @@
     fields("address", node.address);
     fields("incarnation", node.incarnation);
     fields("groupId", node.groupId);
+    fields("dataCentre", node.dataCentre);
+    fields("service", node.service);
+    fields("labels", node.labels);
+    fields("capacity", node.capacity);
 }
 
+// Whether both say the same of where the node is and of its endpoint.
+bool describesSame(const NodeInfo &left, const NodeInfo &right);
+
 // [SECTION] Messages
 
 // The first frame on a connection, and its answer.
--- a/packages/directory/src/directory.cpp
+++ b/packages/directory/src/directory.cpp
@@ -24,6 +24,12 @@
     return "agent";
 }
 
+bool describesSame(const NodeInfo &left, const NodeInfo &right)
+{
+    return left.dataCentre == right.dataCentre && left.service == right.service
+            && left.labels == right.labels;
+}
+
 namespace {
 
 // Entries learn of agents, everybody learns of control hosts; of entries only their number counts.
@@ -68,12 +74,13 @@
         noteGone(directory, before->second.info);
     KnownNode &known = directory.nodes[node.address];
     const bool countChanged = node.role == Role::Entry && !known.connected;
+    const bool otherEndpoint = !isNew && !describesSame(known.info, node);
     known.info = node;
     known.connection = connection;
     known.connected = true;
-    if (isNew || otherRole || countChanged)
+    if (isNew || otherRole || otherEndpoint || countChanged)
         noteChange(directory, node.role);
-    if (isNew || otherRole)
+    if (isNew || otherRole || otherEndpoint)
         known.listedIn = directory.revision;
 }
 
--- a/packages/directory/tests/directory_test.cpp
+++ b/packages/directory/tests/directory_test.cpp
@@ -15,7 +15,12 @@
 
 NodeInfo makeNode(const std::string &address, Role role, std::uint64_t incarnation = 1)
 {
-    return { "node-" + address, role, address, incarnation, "" };
+    NodeInfo node;
+    node.name = "node-" + address;
+    node.role = role;
+    node.address = address;
+    node.incarnation = incarnation;
+    return node;
 }
 
 DirectoryState makeDirectory()
@@ -135,6 +140,18 @@
                                                makeNode("10.0.0.3:1", Role::Agent, 2));
                              },
                              0, 0, 1, false, false },
+                ChangeCase { "AgentTellsItsEndpoint",
+                             [](DirectoryState &directory) {
+                                 NodeInfo node = makeNode("10.0.0.3:1", Role::Agent);
+                                 node.service = "render";
+                                 nodeAnnounced(directory, 3, node);
+                             },
+                             1, 0, 1, true, false },
+                ChangeCase { "AgentTellsTheSameAgain",
+                             [](DirectoryState &directory) {
+                                 nodeAnnounced(directory, 3, makeNode("10.0.0.3:1", Role::Agent));
+                             },
+                             0, 0, 1, false, false },
                 ChangeCase { "EntryLost",
                              [](DirectoryState &directory) {
                                  connectionLost(directory, 2, Time(Seconds(100)));
--- a/packages/fleet/src/agentshell.cpp
+++ b/packages/fleet/src/agentshell.cpp
@@ -75,6 +75,7 @@
     void sendTo(std::uint64_t session, const Frame &frame);
 
     void handleEndpoint(const ExchangePtr &exchange);
+    void announceEndpoint();
     void noteUnreadable(const std::string &reason, Time now);
     void orderStart(const runner::StartOrder &order);
     void orderStop(const runner::StopOrder &order);
@@ -209,6 +210,21 @@
                        .with("total", m_unreadable));
 }
 
+// Entries that have no session here know of the endpoint by what control lists.
+void AgentShell::announceEndpoint()
+{
+    if (!m_runner.life.described)
+        return;
+    directory::NodeInfo node = m_core.self;
+    node.service = m_runner.endpoint.service;
+    node.labels = m_runner.endpoint.labels;
+    node.capacity = m_runner.endpoint.capacity;
+    if (directory::describesSame(node, m_core.self))
+        return;
+    m_core.self = node;
+    m_control.announce();
+}
+
 void AgentShell::handleEndpoint(const ExchangePtr &exchange)
 {
     Error reason;
@@ -222,6 +238,7 @@
         carryOut(runner::endpointLeft(m_runner, call->life, now));
     else
         carryOut(runner::endpointHeard(m_runner, call->report, now));
+    announceEndpoint();
     exchange->answer(m_dialect.writeEndpointAnswer(true, ""));
 }
 
--- a/packages/fleet/src/core.cpp
+++ b/packages/fleet/src/core.cpp
@@ -149,8 +149,11 @@
 void ControlLinks::keepBook(Time now)
 {
     const PeerChanges changes = fleet::tick(m_book, seedAddresses(m_core.settings), now);
-    for (const std::string &address : changes.dropped)
+    for (const std::string &address : changes.dropped) {
         m_peers.erase(address);
+        if (m_events.forgotten)
+            m_events.forgotten(address);
+    }
     for (const std::string &address : changes.added)
         dial(address);
 }
@@ -170,6 +173,15 @@
     }
 }
 
+void ControlLinks::announce()
+{
+    const std::string frame = encodeFrame(Frame(directory::Announce { m_core.self }));
+    for (auto &[address, peer] : m_peers) {
+        if (peer->link)
+            peer->link->send(frame);
+    }
+}
+
 std::size_t ControlLinks::connected() const
 {
     std::size_t count = 0;
--- a/packages/fleet/src/core.h
+++ b/packages/fleet/src/core.h
@@ -84,6 +84,9 @@
 {
     std::function<void(const std::string &from, const directory::DirectoryUpdate &)> directory;
     std::function<void(const AgreedPush &)> agreed;
+
+    // No longer a peer; what it has told counts no more.
+    std::function<void(const std::string &host)> forgotten;
 };
 
 // An entry's or agent's connections to every control host it knows of: the seeds, and those that
@@ -96,6 +99,9 @@
 
     void tick(Time now);
     void reloadSeeds();
+
+    // What this node says of itself has changed.
+    void announce();
     std::size_t connected() const;
 
 private:
--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 
 #include <foxwing/fabric/httpserver.h>
+#include <foxwing/subset/subset.h>
 
 #include "core.h"
 #include "heldcalls.h"
@@ -52,6 +53,8 @@
         : m_core(core)
         , m_dialect(dialect)
         , m_scheduler(scheduler::makeScheduler(core.settings.scheduler))
+        , m_subset(subset::makeSubset(subset::SubsetSettings(), core.settings.name,
+                                      core.settings.dataCentre))
         , m_control(core, controlEvents())
     { }
 
@@ -82,7 +85,9 @@
     void agentReceived(const std::string &address, std::string_view bytes);
     void agentClosed(const std::string &address);
     std::size_t endpointsWithoutQueue() const;
-    void forgetAgents(const std::set<std::string> &listed);
+    void keepSubset(Time now);
+    void dropAgent(const std::string &address);
+    bool reachNeeds(const jobs::JobSpec &spec, const std::string &service, Time now);
 
     // Control
     ControlEvents controlEvents();
@@ -97,6 +102,7 @@
     Core &m_core;
     const Dialect &m_dialect;
     scheduler::SchedulerState m_scheduler;
+    subset::SubsetState m_subset;
     catalog::Catalog m_catalog;
     Time m_catalogAt {};
 
@@ -106,8 +112,6 @@
 
     HeldCalls m_held;
 
-    // By control host
-    std::map<std::string, std::set<std::string>> m_listed;
     std::map<std::uint64_t, std::vector<ExchangePtr>> m_waiting;
     std::map<std::uint64_t, std::string> m_queueOf;
     std::map<std::uint64_t, Time> m_cameAt;
@@ -241,6 +245,7 @@
     terms.beginBy = cameAt + queue.timeout;
     if (call.patience)
         terms.patienceUntil = cameAt + *call.patience;
+    terms.suitableElsewhere = reachNeeds(*spec, queue.service, now);
     std::uint64_t number = 0;
     scheduler::SchedulerActions actions = scheduler::submit(m_scheduler, *spec, terms, now,
                                                             &number);
@@ -324,6 +329,7 @@
                                 const std::shared_ptr<fabric::Link> &link)
 {
     m_agents.at(address).link = link;
+    subset::connected(m_subset, address);
     link->start([this, address](std::string_view bytes) { agentReceived(address, bytes); },
                 [this, address, link = link.get()] {
                     const auto agent = m_agents.find(address);
@@ -355,15 +361,49 @@
     AgentPeer &peer = m_agents.at(address);
     peer.link.reset();
     peer.dialer->lost();
-    carryOut(scheduler::agentLost(m_scheduler, address, steadyNow()));
+    const Time now = steadyNow();
+    subset::connectionLost(m_subset, address, now);
+    carryOut(scheduler::agentLost(m_scheduler, address, now));
+}
+
+// Opens and gives up sessions, so that those that are kept follow the subset.
+void EntryShell::keepSubset(Time now)
+{
+    if (now < m_scheduler.wantsRoomUntil)
+        subset::wantMore(m_subset, now);
+    const subset::SubsetChanges changes = subset::choose(m_subset, now);
+    for (const std::string &address : changes.added)
+        keepAgent(address);
+    for (const std::string &address : changes.gone)
+        m_agents.erase(address);
+    for (const std::string &address : changes.spare)
+        dropAgent(address);
+    m_scheduler.entries = m_subset.sharingEntries;
+}
+
+void EntryShell::dropAgent(const std::string &address)
+{
+    if (!scheduler::releaseAgent(m_scheduler, address))
+        return;
+    const auto agent = m_agents.find(address);
+    if (agent != m_agents.end() && agent->second.link)
+        agent->second.link->close();
+    m_agents.erase(address);
+    subset::dropped(m_subset, address);
 }
 
-void EntryShell::forgetAgents(const std::set<std::string> &listed)
+// Whether each step of the job finds an endpoint in the fleet, in the subset or not; where it is
+// not in the subset, sessions with some are opened.
+bool EntryShell::reachNeeds(const jobs::JobSpec &spec, const std::string &service, Time now)
 {
-    for (auto item = m_agents.begin(); item != m_agents.end();) {
-        const bool forget = !item->second.link && listed.count(item->first) == 0;
-        item = forget ? m_agents.erase(item) : std::next(item);
+    bool all = true;
+    for (const jobs::StepSpec &step : spec.steps) {
+        all &= subset::reach(m_subset, { service, step.label, "", step.room }, now);
+        if (!step.rack.empty())
+            subset::reach(m_subset, { service, step.label, step.rack, step.room }, now);
     }
+    keepSubset(now);
+    return all;
 }
 
 // [SECTION] Control
@@ -378,30 +418,16 @@
         takeCordons(push.cordons);
         takeCatalog(push.catalog);
     };
+    events.forgotten = [this](const std::string &host) {
+        subset::forgetControlHost(m_subset, host);
+    };
     return events;
 }
 
 void EntryShell::takeDirectory(const std::string &from, const directory::DirectoryUpdate &update)
 {
-    std::set<std::string> &told = m_listed[from];
-    if (update.whole)
-        told.clear();
-    for (const std::string &address : update.gone)
-        told.erase(address);
-    for (const directory::NodeInfo &node : update.nodes) {
-        if (node.role != directory::Role::Agent) {
-            // An address may come back in another role.
-            told.erase(node.address);
-            continue;
-        }
-        told.insert(node.address);
-        keepAgent(node.address);
-    }
-    m_scheduler.entries = std::max<std::uint32_t>(1, update.entries);
-    std::set<std::string> all;
-    for (const auto &[host, addresses] : m_listed)
-        all.insert(addresses.begin(), addresses.end());
-    forgetAgents(all);
+    subset::takeUpdate(m_subset, from, update);
+    keepSubset(steadyNow());
 }
 
 void EntryShell::takeCordons(const catalog::Cordons &cordons)
@@ -414,7 +440,10 @@
                        .with("revision", cordons.revision)
                        .with("before", m_scheduler.cordons.revision)
                        .with("data_centres", joinedNames(cordons)));
-    carryOut(scheduler::takeCordons(m_scheduler, cordons, steadyNow()));
+    const Time now = steadyNow();
+    subset::takeCordons(m_subset, cordons);
+    keepSubset(now);
+    carryOut(scheduler::takeCordons(m_scheduler, cordons, now));
 }
 
 void EntryShell::takeCatalog(const catalog::Catalog &catalog)
@@ -462,6 +491,7 @@
     checkPause(now);
     refuseHeld(now);
     m_control.tick(now);
+    keepSubset(now);
     carryOut(scheduler::tick(m_scheduler, now));
 }
 
@@ -522,6 +552,9 @@
     gauge("foxwing_jobs_open", "Jobs not answered yet", scheduler::openJobs(m_scheduler));
     gauge("foxwing_jobs_waiting", "Jobs with tasks that wait", m_scheduler.queue.size());
     gauge("foxwing_agents", "Agents in touch", m_scheduler.agents.size());
+    gauge("foxwing_agents_listed", "Agents that control hosts list", m_subset.agents.size());
+    gauge("foxwing_agents_chosen", "Agents that sessions are kept with",
+          subset::keptAgents(m_subset));
     gauge("foxwing_endpoints_without_queue", "Endpoints whose service no queue names",
           endpointsWithoutQueue());
     gauge("foxwing_control_hosts", "Control hosts in touch", m_control.connected());
--- a/packages/fleet/src/node.cpp
+++ b/packages/fleet/src/node.cpp
@@ -180,6 +180,7 @@
     state.watchSignals();
     state.core.self.name = settings.name;
     state.core.self.role = settings.role;
+    state.core.self.dataCentre = settings.dataCentre;
     state.core.self.address = innerAddress(settings);
     state.core.self.incarnation = static_cast<std::uint64_t>(
             wallClockNow().time_since_epoch().count());
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -188,6 +188,9 @@
 
     // The caller waits until then at the most, if it said so.
     std::optional<Time> patienceUntil;
+
+    // Endpoints that suit it are known to be there, if only without a session so far.
+    bool suitableElsewhere = false;
 };
 
 enum class TaskState {
@@ -442,6 +445,9 @@
                               const jobs::AgentUpdate &update, Time now);
 SchedulerActions agentLost(SchedulerState &scheduler, const std::string &agent, Time now);
 
+// Gives up a session that no run of this entry needs; false, and nothing changed, if one does.
+bool releaseAgent(SchedulerState &scheduler, const std::string &agent);
+
 SchedulerActions tick(SchedulerState &scheduler, Time now);
 
 // After a pause of this process: agents have stopped its runs and callers may have sent their jobs
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -214,9 +214,9 @@
         refuse(scheduler, job, JobOutcome::NotRun, why, now, actions);
         return actions;
     }
-    const bool possible = std::all_of(spec.steps.begin(), spec.steps.end(), [&](const auto &step) {
-        return anySuits(scheduler, job, step);
-    });
+    const bool possible = terms.suitableElsewhere
+            || std::all_of(spec.steps.begin(), spec.steps.end(),
+                           [&](const auto &step) { return anySuits(scheduler, job, step); });
     if (!possible) {
         refuse(scheduler, job, JobOutcome::Failed, "no endpoint of its service could ever run it",
                now, actions);
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -222,6 +222,19 @@
     return actions;
 }
 
+bool releaseAgent(SchedulerState &scheduler, const std::string &name)
+{
+    for (const auto &[number, job] : scheduler.jobs) {
+        const bool here = std::any_of(job.tasks.begin(), job.tasks.end(), [&](const Task &task) {
+            return task.state == TaskState::Placed && task.agent == name;
+        });
+        if (here)
+            return false;
+    }
+    scheduler.agents.erase(name);
+    return true;
+}
+
 // [SECTION] Cordons
 
 namespace {
--- a/packages/scheduler/tests/placing_test.cpp
+++ b/packages/scheduler/tests/placing_test.cpp
@@ -348,6 +348,39 @@
                                          WaitCase { "SwitchedOff", 0, 1, 0, 0, false }),
                          [](const auto &tested) { return tested.param.name; });
 
+// A session that a run needs is kept: its end would be told to nobody.
+TEST(SchedulerPlacing, ASessionIsReleasedOnlyOnceNoRunNeedsIt)
+{
+    Bench bench({ 10000, 10000 });
+    bench.submit("job", 1);
+    const std::string busy = bench.scheduler.jobs.at(bench.number).tasks.at(0).agent;
+    const std::string idle = busy == "agent-0" ? "agent-1" : "agent-0";
+    EXPECT_FALSE(releaseAgent(bench.scheduler, busy));
+    EXPECT_TRUE(releaseAgent(bench.scheduler, idle));
+    EXPECT_EQ(bench.scheduler.agents.count(idle), 0U);
+    bench.report(busy, { endOf("job", 0, 1, RunEnd::Done) });
+    EXPECT_TRUE(releaseAgent(bench.scheduler, busy));
+}
+
+// An endpoint that suits is there and only has no session yet: the job is not given up for it.
+TEST(SchedulerPlacing, AJobWaitsForAnEndpointThatIsKnownToSuit)
+{
+    Bench bench({ 10000 });
+    jobs::StepSpec step;
+    step.tasks = 1;
+    step.room = { 20000, 10, 0 };
+    step.estimate = Milliseconds(100);
+    jobs::JobSpec spec;
+    spec.id = "large";
+    spec.steps = { step };
+    spec.traits = bench.traits;
+    JobTerms terms = bench.terms();
+    terms.suitableElsewhere = true;
+    const SchedulerActions waits = submit(bench.scheduler, spec, terms, bench.now, &bench.number);
+    EXPECT_TRUE(waits.answers.empty());
+    EXPECT_EQ(startsIn(bench.welcome("agent-1", makeView(20000))), 1U);
+}
+
 // The most urgent queue is dropped: the next one takes its place at the agents.
 TEST(SchedulerPlacing, WhatGoesFirstIsLearnedAnewWhenTheQueuesChange)
 {
--- /dev/null
+++ b/packages/subset/src/subset.cpp
@@ -0,0 +1,173 @@
+/*
+    What is known of the agents. How the subset is chosen from them is in choosing.cpp.
+
+    [SECTION] News
+    [SECTION] Sessions
+    [SECTION] Needs
+*/
+#include <foxwing/subset/subset.h>
+
+#include <algorithm>
+
+#include <foxwing/base/digest.h>
+
+namespace foxwing::subset {
+
+// [SECTION] News
+
+SubsetState makeSubset(const SubsetSettings &settings, const std::string &entry,
+                       const std::string &dataCentre)
+{
+    SubsetState subset;
+    subset.settings = settings;
+    subset.entry = entry;
+    subset.dataCentre = dataCentre;
+    subset.size = settings.least;
+    return subset;
+}
+
+namespace {
+
+void unlist(SubsetState &subset, const std::string &address, const std::string &host)
+{
+    const auto found = subset.agents.find(address);
+    if (found != subset.agents.end() && found->second.listedBy.erase(host) > 0)
+        subset.changed = true;
+}
+
+void unlistAll(SubsetState &subset, const std::string &host)
+{
+    for (auto &[address, agent] : subset.agents)
+        subset.changed |= agent.listedBy.erase(host) > 0;
+}
+
+void list(SubsetState &subset, const directory::NodeInfo &node, const std::string &host)
+{
+    ListedAgent &agent = subset.agents[node.address];
+    if (agent.weight == 0)
+        agent.weight = rendezvousWeight(subset.entry, node.address);
+    // Control hosts differ for a moment in what they have heard; what names a service has heard
+    // more than what names none.
+    if (agent.listedBy.empty() || !node.service.empty())
+        agent.node = node;
+    agent.listedBy.insert(host);
+    subset.changed = true;
+}
+
+} // namespace
+
+void takeUpdate(SubsetState &subset, const std::string &from,
+                const directory::DirectoryUpdate &update)
+{
+    subset.entriesBy[from] = update.entries;
+    if (update.whole)
+        unlistAll(subset, from);
+    for (const std::string &address : update.gone)
+        unlist(subset, address, from);
+    for (const directory::NodeInfo &node : update.nodes) {
+        // An address may come back in another role.
+        if (node.role == directory::Role::Agent)
+            list(subset, node, from);
+        else
+            unlist(subset, node.address, from);
+    }
+    subset.changed = true;
+}
+
+void forgetControlHost(SubsetState &subset, const std::string &host)
+{
+    subset.entriesBy.erase(host);
+    unlistAll(subset, host);
+}
+
+void takeCordons(SubsetState &subset, const catalog::Cordons &cordons)
+{
+    if (cordons.revision <= subset.cordons.revision)
+        return;
+    subset.cordons = cordons;
+    subset.changed = true;
+}
+
+// [SECTION] Sessions
+
+void connected(SubsetState &subset, const std::string &agent)
+{
+    const auto found = subset.agents.find(agent);
+    if (found == subset.agents.end())
+        return;
+    found->second.connected = true;
+    subset.changed = true;
+}
+
+void connectionLost(SubsetState &subset, const std::string &agent, Time now)
+{
+    const auto found = subset.agents.find(agent);
+    if (found == subset.agents.end())
+        return;
+    found->second.connected = false;
+    found->second.awaySince = now;
+    subset.changed = true;
+}
+
+void dropped(SubsetState &subset, const std::string &agent)
+{
+    const auto found = subset.agents.find(agent);
+    if (found == subset.agents.end())
+        return;
+    found->second.kept = false;
+    found->second.connected = false;
+    found->second.spare = false;
+    subset.changed = true;
+}
+
+std::size_t keptAgents(const SubsetState &subset)
+{
+    return static_cast<std::size_t>(
+            std::count_if(subset.agents.begin(), subset.agents.end(),
+                          [](const auto &item) { return item.second.kept; }));
+}
+
+// [SECTION] Needs
+
+void wantMore(SubsetState &subset, Time now)
+{
+    subset.wantedAt = now;
+}
+
+namespace {
+
+bool meets(const ListedAgent &agent, const Need &need)
+{
+    const std::vector<std::string> &labels = agent.node.labels;
+    const auto has = [&](const std::string &label) {
+        return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+    };
+    return agent.node.service == need.service && has(need.label) && has(need.rack)
+            && jobs::fits(need.room, agent.node.capacity);
+}
+
+} // namespace
+
+bool reach(SubsetState &subset, const Need &need, Time now)
+{
+    std::vector<ListedAgent *> meeting;
+    for (auto &[address, agent] : subset.agents) {
+        if (!meets(agent, need) || catalog::isCordoned(subset.cordons, agent.node.dataCentre))
+            continue;
+        // A kept one does, but for those that are there for an earlier need and would go.
+        if (agent.kept && !agent.spare && agent.neededUntil == Time {})
+            return true;
+        meeting.push_back(&agent);
+    }
+    const std::size_t wanted = std::min(subset.settings.perNeed, meeting.size());
+    std::partial_sort(meeting.begin(), meeting.begin() + static_cast<std::ptrdiff_t>(wanted),
+                      meeting.end(), [](const ListedAgent *left, const ListedAgent *right) {
+                          return left->weight > right->weight;
+                      });
+    for (std::size_t i = 0; i < wanted; ++i)
+        meeting[i]->neededUntil = now + subset.settings.needFor;
+    subset.changed |= wanted > 0;
+    return wanted > 0;
+}
+
+} // namespace foxwing::subset
--- /dev/null
+++ b/packages/subset/tests/subset_test.cpp
@@ -0,0 +1,389 @@
+/*
+    Which agents entries work with: sizes, what a change of the fleet moves, and what widens a
+    subset.
+
+    [SECTION] Fleet
+    [SECTION] Sizes
+    [SECTION] Changes
+    [SECTION] Growth
+    [SECTION] Needs
+*/
+#include <algorithm>
+#include <gtest/gtest.h>
+
+#include <foxwing/subset/subset.h>
+
+namespace foxwing::subset {
+namespace {
+
+// [SECTION] Fleet
+
+const Time Start { Seconds(1000) };
+const jobs::Room Room16 { 16000, 32768, 0 };
+
+std::string dataCentre(std::size_t number)
+{
+    return "dc-" + std::to_string(number);
+}
+
+std::string agentAddress(std::size_t number)
+{
+    return "10." + std::to_string(number / 250) + ".1." + std::to_string(number % 250) + ":7000";
+}
+
+directory::NodeInfo makeAgent(std::size_t number, std::size_t dataCentres)
+{
+    directory::NodeInfo node;
+    node.name = "agent-" + std::to_string(number);
+    node.role = directory::Role::Agent;
+    node.address = agentAddress(number);
+    node.dataCentre = dataCentre(number % dataCentres);
+    node.service = "render";
+    node.labels = { "rack-" + std::to_string(number / 12) };
+    node.capacity = Room16;
+    return node;
+}
+
+directory::DirectoryUpdate wholeList(std::size_t agents, std::uint32_t entries,
+                                     std::size_t dataCentres)
+{
+    directory::DirectoryUpdate update;
+    update.entries = entries;
+    for (std::size_t i = 0; i < agents; ++i)
+        update.nodes.push_back(makeAgent(i, dataCentres));
+    return update;
+}
+
+SubsetState makeEntry(std::size_t number, std::size_t dataCentres)
+{
+    return makeSubset(SubsetSettings(), "entry-" + std::to_string(number),
+                      dataCentre(number % dataCentres));
+}
+
+// Connects what is added and drops what is spare, for so long.
+void live(SubsetState &subset, Time &now, Milliseconds span)
+{
+    constexpr Milliseconds Step { 20 };
+    for (const Time end = now + span; now < end; now += Step) {
+        const SubsetChanges changes = choose(subset, now);
+        for (const std::string &agent : changes.added)
+            connected(subset, agent);
+        for (const std::string &agent : changes.spare)
+            dropped(subset, agent);
+    }
+}
+
+std::set<std::string> kept(const SubsetState &subset)
+{
+    std::set<std::string> addresses;
+    for (const auto &[address, agent] : subset.agents) {
+        if (agent.kept)
+            addresses.insert(address);
+    }
+    return addresses;
+}
+
+std::size_t keptIn(const SubsetState &subset, const std::string &where)
+{
+    return static_cast<std::size_t>(
+            std::count_if(subset.agents.begin(), subset.agents.end(), [&](const auto &item) {
+                return item.second.kept && item.second.node.dataCentre == where;
+            }));
+}
+
+// An entry of a fleet of 184 entries and 800 agents in five data centres, settled.
+SubsetState settledEntry(Time &now)
+{
+    SubsetState subset = makeEntry(0, 5);
+    takeUpdate(subset, "control-1", wholeList(800, 184, 5));
+    live(subset, now, Seconds(1));
+    return subset;
+}
+
+// [SECTION] Sizes
+
+struct SizeCase
+{
+    const char *name;
+    std::uint32_t entries;
+    std::size_t agents;
+    std::size_t dataCentres;
+
+    // Data centres that entries are in, from the first
+    std::size_t entriesIn;
+    std::size_t sessionsOfEntry;
+
+    // Agents that some entry reaches; choices are independent, so where few entries choose among
+    // many agents some are left to those that widen their subset.
+    std::size_t leastReached;
+
+    // At the busiest agent: two and a half times the average, three times where that is small
+    std::size_t mostSessionsOfAgent;
+};
+
+std::ostream &operator<<(std::ostream &out, const SizeCase &tested)
+{
+    return out << tested.name;
+}
+
+class Sizes : public testing::TestWithParam<SizeCase>
+{ };
+
+TEST_P(Sizes, EachAgentIsReachedAndNoneByTooMany)
+{
+    const SizeCase &tested = GetParam();
+    const auto list = wholeList(tested.agents, tested.entries, tested.dataCentres);
+    std::map<std::string, std::size_t> reached;
+    for (std::size_t i = 0; i < tested.entries; ++i) {
+        SubsetState subset = makeSubset(SubsetSettings(), "entry-" + std::to_string(i),
+                                        dataCentre(i % tested.entriesIn));
+        takeUpdate(subset, "control-1", list);
+        Time now = Start;
+        // A step of 32 agents in 0.2 s, up to all of them
+        live(subset, now, Seconds(1) + Milliseconds(200) * (tested.sessionsOfEntry / 32));
+        EXPECT_EQ(keptAgents(subset), tested.sessionsOfEntry);
+        for (const std::string &agent : kept(subset))
+            ++reached[agent];
+    }
+    EXPECT_GE(reached.size(), tested.leastReached);
+    std::size_t most = 0;
+    for (const auto &[agent, count] : reached)
+        most = std::max(most, count);
+    EXPECT_LE(most, tested.mostSessionsOfAgent);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Subset, Sizes,
+        testing::Values(SizeCase { "OneAndOne", 1, 1, 1, 1, 1, 1, 1 },
+                        SizeCase { "ManyEntriesFewAgents", 200, 20, 5, 5, 20, 20, 200 },
+                        SizeCase { "FewEntriesManyAgents", 3, 2000, 5, 5, 2000, 2000, 3 },
+                        SizeCase { "JustTakenWhole", 15, 96, 5, 5, 96, 96, 15 },
+                        SizeCase { "Hosts200", 40, 160, 5, 5, 64, 160, 40 },
+                        SizeCase { "Hosts2000", 400, 1600, 5, 5, 64, 1600, 40 },
+                        SizeCase { "DesignSize", 60, 2000, 15, 15, 267, 1980, 24 },
+                        SizeCase { "DataCentreWithoutEntry", 100, 800, 5, 4, 64, 776, 24 }),
+        [](const auto &tested) { return tested.param.name; });
+
+// Where no entry is at home, agents are in the reach of few; in need, of all that widen.
+TEST(Subset, WorkWithoutRoomReachesDataCentresWithoutEntries)
+{
+    const auto list = wholeList(800, 100, 5);
+    std::set<std::string> reached;
+    for (std::size_t i = 0; i < 100; ++i) {
+        SubsetState subset = makeEntry(i, 4);
+        takeUpdate(subset, "control-1", list);
+        Time now = Start;
+        for (int turn = 0; turn < 30; ++turn) {
+            wantMore(subset, now);
+            live(subset, now, Milliseconds(100));
+        }
+        const std::set<std::string> mine = kept(subset);
+        reached.insert(mine.begin(), mine.end());
+    }
+    EXPECT_EQ(reached.size(), 800U);
+}
+
+// [SECTION] Changes
+
+TEST(Subset, PrefersItsDataCentreAndKnowsTheOthers)
+{
+    Time now = Start;
+    const SubsetState subset = settledEntry(now);
+    EXPECT_EQ(keptIn(subset, "dc-0"), 48U);
+    for (std::size_t other = 1; other < 5; ++other)
+        EXPECT_GT(keptIn(subset, dataCentre(other)), 0U);
+}
+
+TEST(Subset, OneAgentThatComesOrGoesMovesFewSessions)
+{
+    std::size_t moved = 0;
+    constexpr std::size_t Entries = 100;
+    for (std::size_t i = 0; i < Entries; ++i) {
+        SubsetState subset = makeEntry(i, 5);
+        takeUpdate(subset, "control-1", wholeList(800, Entries, 5));
+        Time now = Start;
+        live(subset, now, Seconds(1));
+        const auto before = kept(subset);
+        directory::DirectoryUpdate update;
+        update.whole = false;
+        update.entries = Entries;
+        update.nodes = { makeAgent(800, 5) };
+        update.gone = { agentAddress(3) };
+        connectionLost(subset, agentAddress(3), now);
+        takeUpdate(subset, "control-1", update);
+        live(subset, now, Seconds(7));
+        for (const std::string &agent : kept(subset))
+            moved += before.count(agent) == 0 ? 1 : 0;
+    }
+    // Each of the two concerns about an eleventh of the entries.
+    EXPECT_LE(moved, Entries / 2);
+    EXPECT_GE(moved, 1U);
+}
+
+TEST(Subset, AgentsOutOfReachAreReplacedAndComeBack)
+{
+    Time now = Start;
+    SubsetState subset = settledEntry(now);
+    const auto before = kept(subset);
+    std::size_t lost = 0;
+    for (const std::string &agent : before) {
+        if (++lost <= 10)
+            connectionLost(subset, agent, now);
+    }
+    live(subset, now, Milliseconds(900));
+    EXPECT_EQ(kept(subset), before);
+    live(subset, now, Milliseconds(200));
+    EXPECT_EQ(keptAgents(subset), before.size() + 10);
+    for (const std::string &agent : before)
+        connected(subset, agent);
+    live(subset, now, Seconds(6));
+    EXPECT_EQ(kept(subset), before);
+}
+
+TEST(Subset, ALostDataCentreHasOthersDialledButNotAllOfThem)
+{
+    Time now = Start;
+    SubsetState subset = settledEntry(now);
+    for (int turn = 0; turn < 400; ++turn, now += Milliseconds(20)) {
+        const SubsetChanges changes = choose(subset, now);
+        for (const std::string &agent : changes.added) {
+            if (subset.agents.at(agent).node.dataCentre != "dc-0")
+                connected(subset, agent);
+        }
+        for (const auto &[address, agent] : subset.agents) {
+            if (agent.connected && agent.node.dataCentre == "dc-0")
+                connectionLost(subset, address, now);
+        }
+    }
+    EXPECT_EQ(keptIn(subset, "dc-0"), 48U);
+    EXPECT_EQ(keptAgents(subset), 48U + 64U);
+}
+
+TEST(Subset, CordonedAgentsAreReplacedAtOnce)
+{
+    Time now = Start;
+    SubsetState subset = settledEntry(now);
+    takeCordons(subset, { 1, { "dc-0" } });
+    live(subset, now, Milliseconds(20));
+    EXPECT_EQ(keptAgents(subset) - keptIn(subset, "dc-0"), 64U);
+    live(subset, now, Seconds(6));
+    EXPECT_EQ(keptIn(subset, "dc-0"), 0U);
+}
+
+TEST(Subset, WhatOnlyAForgottenControlHostListsIsGone)
+{
+    Time now = Start;
+    SubsetState subset = makeEntry(0, 5);
+    takeUpdate(subset, "control-1", wholeList(20, 3, 5));
+    takeUpdate(subset, "control-2", wholeList(19, 3, 5));
+    live(subset, now, Milliseconds(100));
+    forgetControlHost(subset, "control-1");
+    connectionLost(subset, agentAddress(19), now);
+    const SubsetChanges changes = choose(subset, now);
+    EXPECT_EQ(changes.gone, std::vector<std::string> { agentAddress(19) });
+    EXPECT_EQ(keptAgents(subset), 19U);
+}
+
+// [SECTION] Growth
+
+TEST(Subset, GrowsWhileWorkFindsNoRoomAndShrinksLater)
+{
+    Time now = Start;
+    SubsetState subset = settledEntry(now);
+    for (int i = 0; i < 50; ++i) {
+        wantMore(subset, now);
+        live(subset, now, Milliseconds(100));
+    }
+    EXPECT_EQ(keptAgents(subset), 4U * 64U);
+    live(subset, now, Seconds(100));
+    EXPECT_EQ(keptAgents(subset), 64U);
+}
+
+// A control host that has just started has met few of the entries, but most agents.
+TEST(Subset, AControlHostThatKnowsFewEntriesHasNotAllAgentsDialled)
+{
+    Time now = Start;
+    SubsetState subset = makeEntry(0, 5);
+    takeUpdate(subset, "control-1", wholeList(700, 4, 5));
+    live(subset, now, Milliseconds(500));
+    takeUpdate(subset, "control-1", wholeList(800, 184, 5));
+    live(subset, now, Milliseconds(20));
+    EXPECT_LE(keptAgents(subset), 3U * 64U);
+    live(subset, now, Seconds(6));
+    EXPECT_EQ(keptAgents(subset), 64U);
+}
+
+TEST(Subset, TheRoomIsSharedWithThoseWhoReachIt)
+{
+    Time now = Start;
+    const SubsetState subset = settledEntry(now);
+    EXPECT_EQ(subset.sharingEntries, 15U);
+    SubsetState whole = makeEntry(0, 5);
+    takeUpdate(whole, "control-1", wholeList(20, 7, 5));
+    live(whole, now, Milliseconds(100));
+    EXPECT_EQ(whole.sharingEntries, 7U);
+}
+
+// [SECTION] Needs
+
+TEST(Subset, AServiceOfFewAgentsIsTakenWhole)
+{
+    Time now = Start;
+    SubsetState subset = makeEntry(0, 5);
+    directory::DirectoryUpdate update = wholeList(800, 184, 5);
+    for (std::size_t i = 0; i < 10; ++i)
+        update.nodes[i * 80].service = "rare";
+    takeUpdate(subset, "control-1", update);
+    live(subset, now, Seconds(1));
+    for (std::size_t i = 0; i < 10; ++i)
+        EXPECT_TRUE(subset.agents.at(agentAddress(i * 80)).kept);
+    EXPECT_EQ(keptAgents(subset), 74U);
+}
+
+struct NeedCase
+{
+    const char *name;
+    Need need;
+    bool met;
+    std::size_t added;
+};
+
+std::ostream &operator<<(std::ostream &out, const NeedCase &tested)
+{
+    return out << tested.name;
+}
+
+class Needs : public testing::TestWithParam<NeedCase>
+{ };
+
+TEST_P(Needs, AreMetFromTheWholeFleet)
+{
+    Time now = Start;
+    SubsetState subset = makeEntry(0, 5);
+    directory::DirectoryUpdate update = wholeList(800, 184, 5);
+    subset.settings.homePercent = 100;
+    // Only in another data centre, and larger than all others.
+    update.nodes[1].labels = { "special" };
+    update.nodes[1].capacity.accelerators = 8;
+    takeUpdate(subset, "control-1", update);
+    live(subset, now, Seconds(1));
+    ASSERT_FALSE(subset.agents.at(agentAddress(1)).kept);
+    EXPECT_EQ(reach(subset, GetParam().need, now), GetParam().met);
+    live(subset, now, Milliseconds(100));
+    EXPECT_EQ(keptAgents(subset), 64U + GetParam().added);
+    live(subset, now, Seconds(40));
+    EXPECT_EQ(keptAgents(subset), 64U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Subset, Needs,
+        testing::Values(NeedCase { "Plain", { "render", "", "", { 1000, 10, 0 } }, true, 0 },
+                        NeedCase { "Label", { "render", "special", "", {} }, true, 1 },
+                        NeedCase { "Rack", { "render", "", "special", {} }, true, 1 },
+                        NeedCase { "Room", { "render", "", "", { 0, 0, 8 } }, true, 1 },
+                        NeedCase { "Nowhere", { "render", "none", "", {} }, false, 0 },
+                        NeedCase { "OtherService", { "sort", "", "", {} }, false, 0 }),
+        [](const auto &tested) { return tested.param.name; });
+
+} // namespace
+} // namespace foxwing::subset
--- a/tests/fuzz/frames_test.cpp
+++ b/tests/fuzz/frames_test.cpp
@@ -39,11 +39,17 @@
     push.cordons = { 7, { "north", "south" } };
     jobs::Welcome welcome;
     welcome.endpoint = makeView();
+    directory::NodeInfo node;
+    node.name = "n";
+    node.role = directory::Role::Agent;
+    node.address = "10.0.0.1:1";
+    node.dataCentre = "north";
+    node.service = "render";
+    node.labels = { "rack-1" };
     std::vector<std::string> frames;
     for (const fleet::Frame &frame :
          { fleet::Frame(update), fleet::Frame(start), fleet::Frame(push), fleet::Frame(welcome),
-           fleet::Frame(
-                   directory::Announce { { "n", directory::Role::Agent, "10.0.0.1:1", 9, "" } }),
+           fleet::Frame(directory::Announce { node }),
            fleet::Frame(fleet::OpenSession { "entry-1", { push.cordons } }),
            fleet::Frame(jobs::StopRuns { { { { "job", 0, 0, 1 }, 1 } } }),
            fleet::Frame(fleet::ForwardAnswer { 3, fleet::OperatorOutcome::Unsure, "r", {} }) })
