One clock for all decisions, which goes on while a host is suspended

Cause: every process told time by the library's steady clock. It stops while the host is suspended: an agent that came back after seconds believed that it had just heard its entries and went on with their runs, an entry believed its sessions, though callers and other entries had gone on without them.

Change: Time is a point on HostClock, read from CLOCK_BOOTTIME; a type of its own, so that the compiler refuses to compare it with the steady clock. That found three more uses (deadlines of the HTTP client, server and of the edge's bodies, the pause after a failed send). Timers of the libraries still stop and fire late; what they wake looks at the clock.

Schedules: hosts of the fleet's world have clocks of their own. A build whose clock stops while they are suspended is found out (row ClockCountsSuspension of the guards); hosts suspended beside cuts and kills keep the promises (row HostsSuspended). Also in here, since the same files change: sessions that are released again and again, alone, beside all faults and with waiting starts.

--- a/bench/beats.cpp
+++ b/bench/beats.cpp
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <thread>
 
+#include <foxwing/base/clock.h>
 #include <foxwing/base/codec.h>
 #include <foxwing/control/messages.h>
 #include <foxwing/control/reporter.h>
@@ -27,13 +28,6 @@
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
-Time steadyNow()
-{
-    return std::chrono::time_point_cast<Microseconds>(Clock::now());
-}
-
 // [SECTION] Agents
 
 struct StandIn
@@ -132,7 +126,7 @@
     }
     std::uint64_t beats = 0;
     std::uint64_t beatBytes = 0;
-    const Clock::time_point begin = Clock::now();
+    const auto begin = std::chrono::steady_clock::now();
     const auto gap = std::chrono::nanoseconds(1000000000LL / static_cast<std::int64_t>(count));
     const auto total = static_cast<std::size_t>(seconds) * count;
     for (std::size_t i = 0; i < total; ++i) {
--- a/packages/edge/src/httpserver.cpp
+++ b/packages/edge/src/httpserver.cpp
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <pplx/threadpool.h>
 
+#include <foxwing/base/clock.h>
 #include <foxwing/base/codec.h>
 
 namespace foxwing::edge {
@@ -160,7 +161,7 @@
         std::vector<Responder> overdue;
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
-            const auto now = std::chrono::steady_clock::now();
+            const Time now = steadyNow();
             while (!m_arriving.empty() && m_arriving.begin()->second.until <= now) {
                 overdue.push_back(m_arriving.begin()->second.responder);
                 m_arriving.erase(m_arriving.begin());
@@ -196,7 +197,7 @@
     struct Arriving
     {
         Responder responder;
-        std::chrono::steady_clock::time_point until;
+        Time until;
     };
 
     void readBody(const http::http_request &message, HttpRequest request,
@@ -223,8 +224,7 @@
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         m_arriving.emplace(++m_lastArriving,
-                           Arriving { responder,
-                                      std::chrono::steady_clock::now() + m_settings.bodySpan });
+                           Arriving { responder, steadyNow() + m_settings.bodySpan });
         return m_lastArriving;
     }
 
--- a/packages/fabric/src/httpclient.cpp
+++ b/packages/fabric/src/httpclient.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <foxwing/base/clock.h>
+
 namespace foxwing::fabric {
 
 // [SECTION] State
@@ -21,7 +23,7 @@
 struct PendingCall
 {
     Request request;
-    std::chrono::steady_clock::time_point deadline;
+    Time deadline;
     HttpClient::Done done;
 };
 
@@ -111,7 +113,7 @@
     void begin(PendingCall call)
     {
         m_call.emplace(std::move(call));
-        m_timer.expires_at(m_call->deadline);
+        m_timer.expires_after(m_call->deadline - steadyNow());
         m_timer.async_wait(
                 [self = shared_from_this(), number = ++m_number](boost::system::error_code ended) {
                     if (!ended && number == self->m_number && self->m_call)
@@ -214,7 +216,7 @@
 
 void HttpClient::State::dispatch()
 {
-    const auto now = std::chrono::steady_clock::now();
+    const Time now = steadyNow();
     while (!stopped && !waiting.empty()) {
         const bool late = waiting.front().deadline <= now;
         if (!late && busy.size() >= settings.mostConnections)
@@ -250,8 +252,7 @@
 {
     request.version(11);
     request.prepare_payload();
-    m_state->waiting.push_back(
-            { std::move(request), std::chrono::steady_clock::now() + timeout, std::move(done) });
+    m_state->waiting.push_back({ std::move(request), steadyNow() + timeout, std::move(done) });
     m_state->dispatch();
 }
 
--- a/packages/fabric/src/httpserver.cpp
+++ b/packages/fabric/src/httpserver.cpp
@@ -14,6 +14,8 @@
 #include <set>
 #include <sys/socket.h>
 
+#include <foxwing/base/clock.h>
+
 namespace foxwing::fabric {
 
 // [SECTION] State
@@ -109,7 +111,7 @@
     // that a busy connection sets the timer rarely.
     void wakeAfter(Milliseconds span)
     {
-        m_deadline = std::chrono::steady_clock::now() + span;
+        m_deadline = steadyNow() + span;
         if (!m_timerRuns)
             armTimer();
     }
@@ -117,12 +119,12 @@
     void armTimer()
     {
         m_timerRuns = true;
-        m_timer.expires_at(m_deadline);
+        m_timer.expires_after(m_deadline - steadyNow());
         m_timer.async_wait([self = shared_from_this()](boost::system::error_code ended) {
             self->m_timerRuns = false;
             if (ended || self->m_closed)
                 return;
-            if (std::chrono::steady_clock::now() < self->m_deadline)
+            if (steadyNow() < self->m_deadline)
                 return self->armTimer();
             if (!self->m_exchange)
                 self->close();
@@ -222,7 +224,7 @@
     friend class Exchange;
     Socket m_socket;
     asio::steady_timer m_timer;
-    std::chrono::steady_clock::time_point m_deadline;
+    Time m_deadline;
     std::shared_ptr<HttpServer::State> m_server;
     boost::beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
--- a/packages/wire/src/lanes.cpp
+++ b/packages/wire/src/lanes.cpp
@@ -14,6 +14,7 @@
 #include <thread>
 #include <unordered_map>
 
+#include <foxwing/base/clock.h>
 #include <foxwing/base/codec.h>
 
 #include "rpcclient.h"
@@ -34,7 +35,7 @@
     bool scheduled = false;
 
     // Left alone until then.
-    std::chrono::steady_clock::time_point quietUntil {};
+    Time quietUntil {};
     Milliseconds pause { 0 };
 };
 
@@ -72,7 +73,7 @@
             const std::lock_guard<std::mutex> lock(m_mutex);
             Peer &peer = m_peers[address];
             peer.address = address;
-            const bool quiet = std::chrono::steady_clock::now() < peer.quietUntil;
+            const bool quiet = steadyNow() < peer.quietUntil;
             if (quiet || peer.waiting.size() >= m_settings.mostWaiting) {
                 ++m_counters.failedMessages;
                 lost.push_back(std::move(message));
@@ -145,7 +146,7 @@
         ++m_counters.failedCalls;
         m_counters.failedMessages += messages;
         peer.pause = std::clamp(peer.pause * 2, m_settings.pause, m_settings.longestPause);
-        peer.quietUntil = std::chrono::steady_clock::now() + peer.pause;
+        peer.quietUntil = steadyNow() + peer.pause;
         peer.client.reset();
     }
 
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -151,6 +151,19 @@
                 FaultCase { "EndpointBeginsAgainAndAgentKill",
                             { Fault::EndpointAgain, Fault::EndpointLeaves, Fault::AgentKill },
                             80 },
+                FaultCase { "SessionsReleased", { Fault::SessionsReleased }, 95 },
+                FaultCase { "SessionsReleasedAndAll",
+                            { Fault::SessionsReleased, Fault::EntryKill, Fault::EntryFreeze,
+                              Fault::AgentKill, Fault::AgentFreeze, Fault::Cut, Fault::LateOrders },
+                            80 },
+                FaultCase { "SessionsReleasedAndWaiting",
+                            { Fault::SessionsReleased, Fault::Cut, Fault::AgentFreeze },
+                            80,
+                            2 },
+                FaultCase {
+                        "HostsSuspended",
+                        { Fault::AgentFreeze, Fault::EntryFreeze, Fault::Cut, Fault::AgentKill },
+                        78 },
                 FaultCase { "EndpointDark", { Fault::EndpointDark }, 83 },
                 FaultCase { "EndpointHang", { Fault::EndpointHang }, 82 },
                 FaultCase { "EndpointSlow", { Fault::EndpointSlow }, 79 },
@@ -250,6 +263,11 @@
                 GuardCase { "Lease",
                             [](WorldSettings &s) { s.runner.leaseSpan = Milliseconds(5000); },
                             { Fault::AgentKill } },
+                // A clock that stops while the host is suspended: an agent that comes back believes
+                // that it has just heard its entries, and its endpoint.
+                GuardCase { "ClockCountsSuspension",
+                            [](WorldSettings &s) { s.clocksStopAsleep = true; },
+                            { Fault::AgentFreeze, Fault::EntryFreeze } },
                 // The same where nobody sends the cancelled job again.
                 GuardCase { "LeaseAfterCancel",
                             [](WorldSettings &s) {
--- a/tests/fleet/world.cpp
+++ b/tests/fleet/world.cpp
@@ -45,6 +45,19 @@
     m_events.push({ when, ++m_order, std::move(job) });
 }
 
+Time World::clockOf(const Process &process) const
+{
+    return m_now - process.slept;
+}
+
+// What a process does for a while is put off until its host goes on.
+void World::suspend(Process &process, Milliseconds span)
+{
+    process.frozenUntil = m_now + span;
+    if (m_settings.clocksStopAsleep)
+        process.slept += span;
+}
+
 void World::on(Process &process, Milliseconds delay, std::function<void()> job)
 {
     const std::uint64_t life = process.life;
@@ -126,10 +139,10 @@
         terms.attempts = 3;
         terms.stretch = 1.6;
         terms.targetLatency = Milliseconds(60);
-        terms.beginBy = m_now + Milliseconds(1500);
+        terms.beginBy = clockOf(taker) + Milliseconds(1500);
         std::uint64_t number = 0;
-        const auto actions = scheduler::submit(taker.state, m_calls.at(call).spec, terms, m_now,
-                                               &number);
+        const auto actions = scheduler::submit(taker.state, m_calls.at(call).spec, terms,
+                                               clockOf(taker), &number);
         taker.calls[number] = call;
         carryOut(chosen, actions);
     });
@@ -192,7 +205,7 @@
         Entry &entry = *m_entries[static_cast<std::size_t>(number)];
         entry.up = true;
         ++entry.life;
-        entry.lastTurn = m_now;
+        entry.lastTurn = clockOf(entry);
         scheduler::SchedulerSettings settings = m_settings.scheduler;
         settings.seed = m_random();
         entry.state = scheduler::makeScheduler(settings);
@@ -210,15 +223,15 @@
 {
     Entry &entry = *m_entries[static_cast<std::size_t>(number)];
     // As the daemon's shell does after a pause.
-    if (m_now - entry.lastTurn >= Milliseconds(400)) {
-        carryOut(number, scheduler::giveUpAll(entry.state, "stood still", m_now));
+    if (clockOf(entry) - entry.lastTurn >= Milliseconds(400)) {
+        carryOut(number, scheduler::giveUpAll(entry.state, "stood still", clockOf(entry)));
         for (int agent = 0; agent < m_settings.agents; ++agent)
             disconnect(number, agent);
     }
-    entry.lastTurn = m_now;
+    entry.lastTurn = clockOf(entry);
     for (int agent = 0; agent < m_settings.agents; ++agent)
         connect(number, agent);
-    carryOut(number, scheduler::tick(entry.state, m_now));
+    carryOut(number, scheduler::tick(entry.state, clockOf(entry)));
     on(entry, TickInterval, [this, number] { tickEntry(number); });
 }
 
@@ -237,7 +250,8 @@
         return;
     session.open = true;
     session.number = ++m_lastSession;
-    carryOut(number, scheduler::agentConnected(entry.state, nameOf("agent", agentNumber), m_now));
+    carryOut(number,
+             scheduler::agentConnected(entry.state, nameOf("agent", agentNumber), clockOf(entry)));
     std::optional<catalog::Cordons> known;
     if (entry.knowsCordons)
         known = entry.state.cordons;
@@ -246,9 +260,9 @@
         if (known)
             carryOut(agentNumber,
                      runner::cordonsHeard(opened.state, *known, runner::CordonSource::Entry,
-                                          m_now));
+                                          clockOf(opened)));
         carryOut(agentNumber,
-                 runner::openSession(opened.state, id, nameOf("entry", number), m_now));
+                 runner::openSession(opened.state, id, nameOf("entry", number), clockOf(opened)));
     });
 }
 
@@ -262,17 +276,39 @@
     if (entry.up)
         on(entry, Milliseconds(0), [this, number, agentNumber] {
             Entry &told = *m_entries[static_cast<std::size_t>(number)];
-            carryOut(number, scheduler::agentLost(told.state, nameOf("agent", agentNumber), m_now));
+            carryOut(number,
+                     scheduler::agentLost(told.state, nameOf("agent", agentNumber), clockOf(told)));
         });
     // Behind a cut the agent learns nothing of it.
     if (pathOpen(number, agentNumber))
         on(*m_agents[static_cast<std::size_t>(agentNumber)], LinkDelay,
            [this, agentNumber, id = session.number] {
                Agent &told = *m_agents[static_cast<std::size_t>(agentNumber)];
-               carryOut(agentNumber, runner::closeSession(told.state, id, m_now));
+               carryOut(agentNumber, runner::closeSession(told.state, id, clockOf(told)));
            });
 }
 
+// Every few turns for a while; the next turn of the entry connects again.
+void World::releaseSessions(int number, int turns)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    if (turns == 0)
+        return;
+    for (int agent = 0; agent < m_settings.agents; ++agent) {
+        Session &session = entry.sessions[static_cast<std::size_t>(agent)];
+        if (!session.open || !scheduler::releaseAgent(entry.state, nameOf("agent", agent)))
+            continue;
+        session.open = false;
+        if (pathOpen(number, agent))
+            on(*m_agents[static_cast<std::size_t>(agent)], LinkDelay,
+               [this, agent, id = session.number] {
+                   Agent &told = *m_agents[static_cast<std::size_t>(agent)];
+                   carryOut(agent, runner::closeSession(told.state, id, clockOf(told)));
+               });
+    }
+    on(entry, TickInterval * 3, [this, number, turns] { releaseSessions(number, turns - 1); });
+}
+
 void World::sendToAgent(int number, const scheduler::AgentSend &send)
 {
     const int agentNumber = std::stoi(send.agent.substr(send.agent.find('-') + 1));
@@ -282,15 +318,16 @@
         return;
     on(*m_agents[static_cast<std::size_t>(agentNumber)], LinkDelay,
        [this, agentNumber, id = session.number, message = send.message] {
-           runner::RunnerState &state = m_agents[static_cast<std::size_t>(agentNumber)]->state;
+           Agent &taker = *m_agents[static_cast<std::size_t>(agentNumber)];
+           runner::RunnerState &state = taker.state;
+           const Time now = clockOf(taker);
            if (const auto *start = std::get_if<jobs::StartTasks>(&message))
-               carryOut(agentNumber, runner::startTasks(state, id, *start, m_now));
+               carryOut(agentNumber, runner::startTasks(state, id, *start, now));
            else if (const auto *stop = std::get_if<jobs::StopRuns>(&message))
-               carryOut(agentNumber, runner::stopRuns(state, id, *stop, m_now));
+               carryOut(agentNumber, runner::stopRuns(state, id, *stop, now));
            else
                carryOut(agentNumber,
-                        runner::sessionBeat(state, id, std::get<jobs::SessionBeat>(message),
-                                            m_now));
+                        runner::sessionBeat(state, id, std::get<jobs::SessionBeat>(message), now));
        });
 }
 
@@ -325,7 +362,7 @@
 void World::tickAgent(int number)
 {
     Agent &agent = *m_agents[static_cast<std::size_t>(number)];
-    carryOut(number, runner::tick(agent.state, m_now));
+    carryOut(number, runner::tick(agent.state, clockOf(agent)));
     on(agent, TickInterval, [this, number] { tickAgent(number); });
 }
 
@@ -352,7 +389,7 @@
     report.sequence = ++endpoint.beats;
     report.clock = endpoint.clock(m_now);
     report.leaving = endpoint.leaving;
-    carryOut(number, runner::endpointHeard(agent.state, report, m_now));
+    carryOut(number, runner::endpointHeard(agent.state, report, clockOf(agent)));
     if (endpoint.leaving && !agent.toldLeavingAt)
         agent.toldLeavingAt = m_now;
 }
@@ -392,7 +429,8 @@
                 },
                 [this, number, id = stop.id](const runner::Answered &answered) {
                     Agent &agent = *m_agents[static_cast<std::size_t>(number)];
-                    carryOut(number, runner::stopAnswered(agent.state, id, answered, m_now));
+                    carryOut(number,
+                             runner::stopAnswered(agent.state, id, answered, clockOf(agent)));
                 });
     for (const runner::StartOrder &start : actions.starts)
         order(
@@ -408,7 +446,8 @@
                 },
                 [this, number, id = start.id](const runner::Answered &answered) {
                     Agent &agent = *m_agents[static_cast<std::size_t>(number)];
-                    carryOut(number, runner::startAnswered(agent.state, id, answered, m_now));
+                    carryOut(number,
+                             runner::startAnswered(agent.state, id, answered, clockOf(agent)));
                 });
     if (actions.look) {
         const runner::LookOrder &look = *actions.look;
@@ -419,7 +458,7 @@
                 },
                 [this, number, id = look.number](const runner::Look &seen) {
                     Agent &agent = *m_agents[static_cast<std::size_t>(number)];
-                    carryOut(number, runner::lookAnswered(agent.state, id, seen, m_now));
+                    carryOut(number, runner::lookAnswered(agent.state, id, seen, clockOf(agent)));
                 });
     }
     const auto deliver = [&](std::uint64_t session, auto message, auto handle) {
@@ -432,7 +471,7 @@
                 Entry &to = *m_entries[static_cast<std::size_t>(i)];
                 const Session &now = to.sessions[static_cast<std::size_t>(number)];
                 if (now.open && now.number == session)
-                    carryOut(i, handle(to.state, nameOf("agent", number), message, m_now));
+                    carryOut(i, handle(to.state, nameOf("agent", number), message, clockOf(to)));
             });
         }
     };
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -52,6 +52,9 @@
 
     // It says that it leaves, serves on for a while, and begins again.
     EndpointLeaves,
+
+    // An entry gives up its idle sessions, again and again, as one does whose subset changes.
+    SessionsReleased,
 };
 
 // Drawn together as "all": those after which every job is sent again until it is answered
@@ -86,6 +89,9 @@
     // Endpoints do not tell when their lives began, though ids come again.
     bool livesHaveNoDate = false;
 
+    // Processes tell time by a clock that stops while their host is suspended.
+    bool clocksStopAsleep = false;
+
     // Endpoints carry out what has a lower fence than what they have seen.
     bool fencesIgnored = false;
 };
@@ -136,6 +142,8 @@
 
     void at(Time when, std::function<void()> job);
     void on(Process &process, Milliseconds delay, std::function<void()> job);
+    Time clockOf(const Process &process) const;
+    void suspend(Process &process, Milliseconds span);
 
     void submitJobs();
     void submit(const jobs::JobSpec &spec, Time firstSent);
@@ -146,6 +154,7 @@
     void tickAgent(int agent);
     void connect(int entry, int agent);
     void disconnect(int entry, int agent);
+    void releaseSessions(int entry, int turns);
     bool pathOpen(int entry, int agent) const;
     void carryOut(int entry, const scheduler::SchedulerActions &actions);
     void carryOut(int agent, const runner::RunnerActions &actions);
--- a/tests/fleet/worldfaults.cpp
+++ b/tests/fleet/worldfaults.cpp
@@ -50,7 +50,8 @@
             return on(told, std::chrono::ceil<Milliseconds>(reachable - m_now),
                       [this, number] { tellAgent(number); });
         carryOut(number,
-                 runner::cordonsHeard(told.state, m_cordons, runner::CordonSource::Control, m_now));
+                 runner::cordonsHeard(told.state, m_cordons, runner::CordonSource::Control,
+                                      clockOf(told)));
     });
 }
 
@@ -64,7 +65,7 @@
             return on(told, std::chrono::ceil<Milliseconds>(m_controlAwayUntil - m_now),
                       [this, number] { tellEntry(number); });
         told.knowsCordons = true;
-        carryOut(number, scheduler::takeCordons(told.state, m_cordons, m_now));
+        carryOut(number, scheduler::takeCordons(told.state, m_cordons, clockOf(told)));
     });
 }
 
@@ -118,7 +119,7 @@
                 on(*m_agents[static_cast<std::size_t>(i)], LinkDelay,
                    [this, i, id = session.number] {
                        Agent &told = *m_agents[static_cast<std::size_t>(i)];
-                       carryOut(i, runner::closeSession(told.state, id, m_now));
+                       carryOut(i, runner::closeSession(told.state, id, clockOf(told)));
                    });
             session.open = false;
         }
@@ -127,7 +128,7 @@
         restartEntry(static_cast<int>(entryNumber), lasts);
         break;
     case Fault::EntryFreeze:
-        entry.frozenUntil = m_now + lasts;
+        suspend(entry, lasts);
         break;
     case Fault::AgentKill:
         if (!agent.up)
@@ -138,7 +139,7 @@
         restartAgent(static_cast<int>(agentNumber), lasts);
         break;
     case Fault::AgentFreeze:
-        agent.frozenUntil = m_now + lasts;
+        suspend(agent, lasts);
         break;
     case Fault::Cut:
         agent.cutUntil = m_now + lasts;
@@ -152,6 +153,13 @@
     case Fault::EndpointAgain:
         endpointBeginsAgain(static_cast<int>(agentNumber));
         break;
+    case Fault::SessionsReleased:
+        if (entry.up)
+            on(entry, Milliseconds(0), [this, entryNumber] {
+                constexpr int Turns = 40;
+                releaseSessions(static_cast<int>(entryNumber), Turns);
+            });
+        break;
     case Fault::EndpointLeaves:
         agent.endpoint->leaving = true;
         on(agent, Milliseconds(0), [this, agentNumber] { report(static_cast<int>(agentNumber)); });
@@ -213,7 +221,7 @@
             return;
         const std::uint64_t lost = call->second;
         left.calls.erase(call);
-        carryOut(number, scheduler::abandon(left.state, job, m_now));
+        carryOut(number, scheduler::abandon(left.state, job, clockOf(left)));
         if (comesBack)
             callerLost(lost);
         else
--- a/tests/fleet/worldparts.h
+++ b/tests/fleet/worldparts.h
@@ -54,6 +54,9 @@
     bool up = false;
     std::uint64_t life = 0;
     Time frozenUntil {};
+
+    // Suspended time that its clock has left out
+    Microseconds slept { 0 };
 };
 
 struct World::Session
