Rooms that shrink: an unanswered start is not ordered into room that is gone

Cause: by reading. A start without an answer was ordered again for 150 ms, also where the endpoint had said meanwhile that its room is smaller: the order could begin over the room. A start that waits for more than the endpoint has at all held up those behind it until its time was over.

Change: such a start is stopped instead, and such a wait refused at once as not run. What runs goes on.

Between the shrinking and the heartbeat that tells it nothing can be known: up to 1.5 s, against contact_ms and a beat that the users allow.

--- a/packages/runner/src/answers.cpp
+++ b/packages/runner/src/answers.cpp
@@ -44,7 +44,10 @@
     ++runner.unanswered;
     if (run.state != RunState::Ordered)
         return;
-    if (now < run.orderedAt + runner.settings.startGivenUp && leaseDeadline(runner, now))
+    // The room may have shrunk since the first order: it then holds only what has begun already.
+    const bool stillFits = jobs::fits({}, freeRoom(runner));
+    if (now < run.orderedAt + runner.settings.startGivenUp && leaseDeadline(runner, now)
+        && stillFits)
         return orderStart(runner, id, run, now, actions);
     noteBad(runner, now);
     beginStopping(runner, id, run, "its start was not answered", now, actions);
--- a/packages/runner/src/waiting.cpp
+++ b/packages/runner/src/waiting.cpp
@@ -65,6 +65,9 @@
             // Also where room is free by now: after a pause of this process its entry may have
             // started the task elsewhere long ago, and both would run.
             refuseStart(runner, start.session, start.id, RefusedStart::NoRoom);
+        } else if (!jobs::fits(start.room, runner.endpoint.capacity)) {
+            // The room has shrunk below it.
+            refuseStart(runner, start.session, start.id, RefusedStart::NoRoom);
         } else if (!blocked && jobs::fits(start.room, freeRoom(runner))) {
             startRun(runner, start, now, actions);
         } else {
--- a/packages/runner/tests/starting_test.cpp
+++ b/packages/runner/tests/starting_test.cpp
@@ -3,6 +3,7 @@
 
     [SECTION] Starts
     [SECTION] Waiting starts
+    [SECTION] Room that changes
     [SECTION] Cordons
 */
 #include "bench.h"
@@ -246,6 +247,81 @@
         [](const auto &tested) { return tested.param.name; });
 
 // What waits has its room: a start that comes later and would fit does not take it.
+// [SECTION] Room that changes
+
+// An endpoint of 4 cores that runs two tasks of one core each says that it has so many.
+struct RoomCase
+{
+    const char *name;
+    std::int64_t milliCores;
+
+    // Starts of one core each that are taken then
+    std::size_t taken;
+};
+
+std::ostream &operator<<(std::ostream &out, const RoomCase &tested)
+{
+    return out << tested.name;
+}
+
+class ChangedRoom : public testing::TestWithParam<RoomCase>
+{ };
+
+TEST_P(ChangedRoom, TakesOnlyWhatFitsNowAndLetsRunsGoOn)
+{
+    Bench bench;
+    bench.start(0);
+    bench.start(1);
+    EndpointReport report = makeReport("life-1", 2);
+    report.capacity.milliCores = GetParam().milliCores;
+    const RunnerActions told = endpointHeard(bench.runner, report, bench.now);
+    EXPECT_TRUE(told.stops.empty());
+    // Its entries hear at once.
+    ASSERT_EQ(told.updates.size(), GetParam().milliCores == 4000 ? 0U : 1U);
+    std::size_t taken = 0;
+    for (std::uint32_t index = 2; index < 8; ++index)
+        taken += startedIn(bench.start(index)).size();
+    EXPECT_EQ(taken, GetParam().taken);
+    EXPECT_EQ(bench.runner.runs.size(), 2 + taken);
+}
+
+INSTANTIATE_TEST_SUITE_P(Runner, ChangedRoom,
+                         testing::Values(RoomCase { "Same", 4000, 2 },
+                                         RoomCase { "Smaller", 3000, 1 },
+                                         RoomCase { "Full", 2000, 0 },
+                                         RoomCase { "BelowWhatRuns", 1000, 0 },
+                                         RoomCase { "Larger", 6000, 4 }),
+                         [](const auto &tested) { return tested.param.name; });
+
+// Nothing says whether it has begun; ordered again, it could begin where there is no room for it.
+TEST(RunnerRoom, AnUnansweredStartIsStoppedIfTheRoomHasShrunk)
+{
+    Bench bench;
+    bench.start(0);
+    bench.start(1);
+    EndpointReport report = makeReport("life-1", 2);
+    report.capacity.milliCores = 1000;
+    endpointHeard(bench.runner, report, bench.now);
+    const RunnerActions actions = startAnswered(bench.runner, runId(1), {}, bench.now);
+    EXPECT_TRUE(actions.starts.empty());
+    ASSERT_EQ(actions.stops.size(), 1U);
+    EXPECT_EQ(actions.stops[0].id, runId(1));
+}
+
+TEST(RunnerRoom, AStartThatWaitsForMoreThanIsLeftIsRefusedAtOnce)
+{
+    Bench bench;
+    bench.runner.settings.waitingPercent = 100;
+    bench.start(0, 3000);
+    ASSERT_TRUE(startedIn(bench.startOrWait(1, 3000)).empty());
+    EndpointReport report = makeReport("life-1", 2);
+    report.capacity.milliCores = 2000;
+    const auto ends = endsIn(endpointHeard(bench.runner, report, bench.now));
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].end, RunEnd::NeverBegan);
+    EXPECT_EQ(ends[0].refused, RefusedStart::NoRoom);
+}
+
 TEST(RunnerWaiting, RoomIsKeptForWhatWaits)
 {
     Bench bench;
