Give up tasks under which endpoints crash, again and again

Cause: a run whose endpoint had crashed was started again without end, each time taking along all that ran beside it.

Change: a task under which two endpoints have crashed fails its job at once; sent again to the same entry within a minute, the job is failed without a start. An endpoint that had said that it leaves does not count. After its first crash a task goes where least runs and never waits at a full endpoint: the guilty one then crashes (nearly) alone and an innocent one gets through.

Also in here, in the same functions: work away from the rack of its data counts as far_factor of the settings, not as 1.5 times as long.

--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -87,6 +87,9 @@
     // busy days each).
     std::uint32_t awayPercent = 30;
 
+    // Work away from the rack of its data takes so many times as long.
+    double farFactor = 1.5;
+
     // A beat goes to an agent that was sent nothing for this long.
     Milliseconds beatInterval { 100 };
 
@@ -130,6 +133,14 @@
     // Up to this many times its objective after it came, a job is still worth finishing.
     double lateFactor = 3.0;
 
+    // A task under which so many endpoints have crashed is given up: it may be what crashes them,
+    // and each try takes all that runs beside it along.
+    std::uint32_t mostCrashes = 2;
+
+    // Its job is failed at once when it is sent again within this time: above any deadline of those
+    // who wait for it.
+    Milliseconds crashingFor { 60000 };
+
     // Work that has begun is finished, late too, but not beyond this: the longest task that the
     // users name runs for several seconds.
     Milliseconds longestJob { 15000 };
@@ -209,6 +220,9 @@
     TaskState state = TaskState::Waiting;
     std::uint32_t run = 0;
     std::uint32_t failures = 0;
+
+    // Endpoints that were gone, and had not said that they leave, while it ran there
+    std::uint32_t crashes = 0;
     std::string agent;
     Time placedAt {};
     Time certainAt {};
@@ -343,6 +357,10 @@
     std::uint64_t startsRefused = 0;
     std::uint64_t runsMoved = 0;
     std::uint64_t runsLost = 0;
+    std::uint64_t runsCrashed = 0;
+
+    // Jobs given up since endpoints crashed under one of their tasks, again and again
+    std::uint64_t crashingJobs = 0;
 
     // Endpoints that were looked at to place tasks
     std::uint64_t endpointsTried = 0;
@@ -359,6 +377,9 @@
     std::map<std::string, std::uint64_t> byId;
     std::set<QueueKey> queue;
 
+    // Jobs that were given up since endpoints crashed under them, and until when that is remembered
+    std::map<std::string, Time> crashing;
+
     // Some waiting work was not looked at yet with the room as it is.
     bool untried = false;
 
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -177,6 +177,14 @@
     return "";
 }
 
+// Whether the job was given up of late since endpoints crashed under it. Forgets who is past that.
+bool isCrashing(SchedulerState &scheduler, const std::string &id, Time now)
+{
+    for (auto item = scheduler.crashing.begin(); item != scheduler.crashing.end();)
+        item = now >= item->second ? scheduler.crashing.erase(item) : std::next(item);
+    return scheduler.crashing.count(id) != 0;
+}
+
 void refuse(SchedulerState &scheduler, Job &job, JobOutcome outcome, const std::string &why,
             Time now, SchedulerActions &actions)
 {
@@ -209,6 +217,11 @@
     Job job = makeJob(scheduler, spec, terms, now);
     job.number = ++scheduler.lastNumber;
     *number = job.number;
+    if (isCrashing(scheduler, spec.id, now)) {
+        refuse(scheduler, job, JobOutcome::Failed, "endpoints have crashed under it before", now,
+               actions);
+        return actions;
+    }
     const std::string why = refusal(scheduler, job, now);
     if (!why.empty()) {
         refuse(scheduler, job, JobOutcome::NotRun, why, now, actions);
--- a/packages/scheduler/src/ending.cpp
+++ b/packages/scheduler/src/ending.cpp
@@ -291,6 +291,29 @@
                   now, actions);
 }
 
+// The endpoint is gone with all that it ran: this task may be why, or one that ran beside it. It is
+// tried again where least runs, so that the next crash tells the two apart and takes few along.
+void taskCrashed(SchedulerState &scheduler, Job &job, Task &task, Time now,
+                 SchedulerActions &actions)
+{
+    ++task.crashes;
+    ++scheduler.counters.runsCrashed;
+    task.avoid.push_back(task.agent);
+    const std::string agent = task.agent;
+    actions.events.push_back(
+            taskEvent("endpoint-crashed-under", job, task).with("crashes", task.crashes));
+    freeTask(scheduler, job, task);
+    if (task.crashes < scheduler.settings.mostCrashes)
+        return;
+    ++scheduler.counters.crashingJobs;
+    scheduler.crashing[job.spec.id] = now + scheduler.settings.crashingFor;
+    answerJob(scheduler, job, JobOutcome::Failed,
+              std::to_string(task.crashes) + " endpoints crashed under task "
+                      + std::to_string(task.step) + "." + std::to_string(task.index) + ", last at "
+                      + agent,
+              now, actions);
+}
+
 } // namespace
 
 void runEnded(SchedulerState &scheduler, const std::string &agent, const jobs::RunReport &report,
@@ -308,6 +331,7 @@
     // Room that came free in a cordoned data centre is no room for what waits.
     const auto from = scheduler.agents.find(agent);
     const bool usable = from != scheduler.agents.end() && !isCordoned(scheduler, from->second);
+    const bool leaving = from != scheduler.agents.end() && from->second.endpoint.leaving;
     if (report.end != RunEnd::NeverBegan && usable)
         noteFreed(scheduler, job->terms.service, job->spec.steps[task->step].room, now);
     if (report.end == RunEnd::Done && !job->over) {
@@ -315,6 +339,8 @@
     } else if (report.end == RunEnd::Failed && !job->over) {
         actions.events.push_back(taskEvent("task-failed", *job, *task).with("ran_ms", report.took));
         taskFailed(scheduler, *job, *task, now, actions);
+    } else if (report.end == RunEnd::Lost && !leaving && !job->over) {
+        taskCrashed(scheduler, *job, *task, now, actions);
     } else {
         const bool surprise = !job->over && report.refused != RefusedStart::NoRoom;
         if (surprise)
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -72,12 +72,10 @@
 // less full, since work of other entries goes where there is room too; and a little chance, so that
 // entries differ.
 double costOf(SchedulerState &scheduler, const Agent &agent, const jobs::Room &free,
-              const jobs::StepSpec &step)
+              const jobs::StepSpec &step, const Task &task)
 {
     constexpr double LoadWeight = 0.3;
     constexpr double ChanceWeight = 0.1;
-    // Work away from its data takes at least half as long again.
-    constexpr double FarFactor = 1.5;
     std::uniform_real_distribution<double> chance(0, 1);
     if (scheduler.settings.placement == Placement::Random)
         return chance(scheduler.random);
@@ -85,10 +83,10 @@
                                              static_cast<double>(
                                                      agent.endpoint.capacity.milliCores));
     const double load = 1 - static_cast<double>(free.milliCores) / capacity;
-    if (scheduler.settings.placement == Placement::MostRoom)
+    if (scheduler.settings.placement == Placement::MostRoom || task.crashes > 0)
         return load;
     const double pace = static_cast<double>(agent.endpoint.paceMille) / 1000;
-    const double far = hasLabel(agent, step.rack) ? 1 : FarFactor;
+    const double far = hasLabel(agent, step.rack) ? 1 : scheduler.settings.farFactor;
     return pace * far * (1 + LoadWeight * load) + awayCost(scheduler, agent)
             + ChanceWeight * chance(scheduler.random);
 }
@@ -158,7 +156,7 @@
         if (!jobs::fits(step.room, free) || !mayTakeTask(scheduler, agent, job, task, id))
             continue;
         const bool avoided = isAvoided(task, id) || isQuiet(scheduler, agent, now);
-        const double cost = costOf(scheduler, agent, free, step);
+        const double cost = costOf(scheduler, agent, free, step, task);
         if (best && (avoided > bestAvoided || (avoided == bestAvoided && cost >= bestCost)))
             continue;
         best = &agent;
@@ -236,7 +234,8 @@
             continue;
         std::string name;
         Agent *agent = chooseAgent(scheduler, agents, job, task, now, &name);
-        if (!agent && wait.count() > 0)
+        // What may crash an endpoint is not put where all room is taken.
+        if (!agent && wait.count() > 0 && task.crashes == 0)
             agent = chooseWait(scheduler, agents, job, task, now, &name);
         if (!agent) {
             all = false;
--- a/packages/scheduler/tests/ending_test.cpp
+++ b/packages/scheduler/tests/ending_test.cpp
@@ -71,6 +71,99 @@
     EXPECT_NE(again.sends.at(0).agent, agent);
 }
 
+struct CrashCase
+{
+    const char *name;
+
+    // Ends of the task's runs, one after the other
+    std::vector<RunEnd> ends;
+
+    // The endpoint had said that it leaves.
+    bool leaving;
+    std::optional<JobOutcome> outcome;
+};
+
+class Crashes : public testing::TestWithParam<CrashCase>
+{ };
+
+TEST_P(Crashes, UnderATaskAreCounted)
+{
+    Bench bench({ 4000, 4000, 4000, 4000 });
+    SchedulerActions actions = bench.submit("job", 1);
+    std::uint32_t run = 0;
+    for (const RunEnd end : GetParam().ends) {
+        ASSERT_EQ(startsIn(actions), 1U);
+        const std::string agent = actions.sends.at(0).agent;
+        bench.scheduler.agents.at(agent).endpoint.leaving = GetParam().leaving;
+        jobs::AgentUpdate update;
+        update.startsTaken = bench.scheduler.agents.at(agent).startsSent;
+        update.free = { 4000, 10000, 0 };
+        update.mostStarts = 1000;
+        update.leaving = GetParam().leaving;
+        update.ended = { endOf("job", 0, ++run, end) };
+        actions = agentUpdated(bench.scheduler, agent, update, bench.now);
+    }
+    ASSERT_EQ(actions.answers.size(), GetParam().outcome ? 1U : 0U);
+    if (GetParam().outcome) {
+        EXPECT_EQ(actions.answers[0].outcome, *GetParam().outcome);
+    }
+    EXPECT_EQ(startsIn(actions), GetParam().outcome ? 0U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Scheduler, Crashes,
+        testing::Values(
+                CrashCase { "One", { RunEnd::Lost }, false, {} },
+                CrashCase { "Two", { RunEnd::Lost, RunEnd::Lost }, false, JobOutcome::Failed },
+                CrashCase { "OneThenDone",
+                            { RunEnd::Lost, RunEnd::Done },
+                            false,
+                            JobOutcome::Completed },
+                CrashCase { "OneAndOtherEnds",
+                            { RunEnd::Lapsed, RunEnd::Lost, RunEnd::Stopped },
+                            false,
+                            {} },
+                CrashCase { "EndpointsThatLeft", { RunEnd::Lost, RunEnd::Lost }, true, {} }),
+        [](const auto &tested) { return tested.param.name; });
+
+TEST(SchedulerEnds, AJobGivenUpForCrashesIsNotBegunAnewWhileThatIsRemembered)
+{
+    Bench bench({ 4000, 4000, 4000 });
+    SchedulerActions actions = bench.submit("job", 1);
+    for (std::uint32_t run = 1; run <= 2; ++run)
+        actions = bench.report(actions.sends.at(0).agent, { endOf("job", 0, run, RunEnd::Lost) },
+                               4000);
+    const SchedulerActions again = bench.submit("job", 1);
+    ASSERT_EQ(again.answers.size(), 1U);
+    EXPECT_EQ(again.answers[0].outcome, JobOutcome::Failed);
+    EXPECT_EQ(startsIn(again), 0U);
+    EXPECT_EQ(startsIn(bench.submit("other", 1)), 1U);
+    bench.pass(bench.scheduler.settings.crashingFor);
+    EXPECT_EQ(startsIn(bench.submit("job", 1)), 1U);
+}
+
+// What ran beside a crash is told apart by its next try: it goes where least runs.
+TEST(SchedulerEnds, AfterACrashATaskIsTriedWhereLeastRuns)
+{
+    Bench bench({ 8000, 8000, 8000 });
+    bench.submit("job", 1);
+    const std::string crashed = bench.scheduler.jobs.at(bench.number).tasks.at(0).agent;
+    std::string idle;
+    for (const auto &[name, agent] : bench.scheduler.agents) {
+        if (name != crashed)
+            idle = name;
+    }
+    for (auto &[name, agent] : bench.scheduler.agents) {
+        agent.endpoint.free.milliCores = name == idle ? 7000 : 4000;
+        // Slow, which speaks against it for any other task.
+        agent.endpoint.paceMille = name == idle ? 3000 : 500;
+    }
+    const SchedulerActions actions = bench.report(crashed, { endOf("job", 0, 1, RunEnd::Lost) },
+                                                  8000);
+    ASSERT_EQ(startsIn(actions), 1U);
+    EXPECT_EQ(actions.sends.at(0).agent, idle);
+}
+
 TEST(SchedulerEnds, AnEndOfAnEarlierRunChangesNothing)
 {
     Bench bench({ 4000 });
