A model of what a fleet costs at rest, held against counted decisions

Cause: docs/CAPACITY.md foretold by hand; nothing said when it was wrong.

Change: load::costAtRest works out sessions, connections and messages a second of each role from entries, agents and control hosts. A test holds sessions and messages of entries and agents against the decisions that the daemon runs, in virtual time, at 30, 300 and 2,000 hosts (and 60 entries with 2,000 agents), within a tenth; control's row is arithmetic over connections.

--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -117,6 +117,7 @@
         table.refuse("placement", "must be \"fastest\", \"random\" or \"most-room\"");
     table.whole("margin_percent", policy.marginPercent, 0, 1000);
     table.number("refuse_above", policy.refuseAbove, 0.01, 100);
+    table.number("far_factor", policy.farFactor, 1, 100);
     table.whole("away_percent", policy.awayPercent, 0, 1000);
     table.flag("refuse_late", policy.refuseLate);
     table.whole("refuse_at_arrival_percent", policy.refuseAtArrivalPercent, 0, 1000);
--- /dev/null
+++ b/packages/load/src/fleetcost.cpp
@@ -0,0 +1,52 @@
+/*
+    The cost of a fleet at rest.
+
+    [SECTION] Cost
+*/
+#include <foxwing/load/fleetcost.h>
+
+#include <algorithm>
+
+namespace foxwing::load {
+
+// [SECTION] Cost
+
+namespace {
+
+double perSecond(Milliseconds interval)
+{
+    return 1000.0 / static_cast<double>(interval.count());
+}
+
+std::size_t sessionsOfEntry(const FleetShape &shape)
+{
+    const subset::SubsetSettings &settings = shape.subset;
+    const std::size_t shared = settings.entriesPerAgent * shape.agents;
+    const std::size_t size = std::max(settings.least, (shared + shape.entries - 1) / shape.entries);
+    const bool whole = shape.agents * 100 <= size * settings.wholePercent;
+    return whole ? shape.agents : size;
+}
+
+} // namespace
+
+FleetCost costAtRest(const FleetShape &shape)
+{
+    const auto entries = static_cast<double>(shape.entries);
+    const auto agents = static_cast<double>(shape.agents);
+    const auto controlHosts = static_cast<double>(shape.controlHosts);
+    // Each beat is answered.
+    const double perSession = 2 * perSecond(shape.scheduler.beatInterval);
+    const double perControlLink = 2 * perSecond(shape.controlBeat);
+    FleetCost cost;
+    cost.entry.sessions = static_cast<double>(sessionsOfEntry(shape));
+    cost.agent.sessions = cost.entry.sessions * entries / agents;
+    for (RoleCost *role : { &cost.entry, &cost.agent }) {
+        role->connections = role->sessions + controlHosts;
+        role->messagesPerSecond = role->sessions * perSession + controlHosts * perControlLink;
+    }
+    cost.control.connections = entries + agents + 2 * (controlHosts - 1);
+    cost.control.messagesPerSecond = cost.control.connections * perControlLink;
+    return cost;
+}
+
+} // namespace foxwing::load
--- a/tests/fleet/size_test.cpp
+++ b/tests/fleet/size_test.cpp
@@ -11,9 +11,8 @@
 */
 #include <gtest/gtest.h>
 
+#include <foxwing/load/fleetcost.h>
 #include <foxwing/runner/runner.h>
-#include <foxwing/scheduler/scheduler.h>
-#include <foxwing/subset/subset.h>
 
 namespace foxwing::test {
 namespace {
@@ -57,7 +56,18 @@
                                                     "entry-" + std::to_string(entry),
                                                     "dc-" + std::to_string(entry % DataCentres));
     subset::takeUpdate(subset, "control", list);
-    return subset::choose(subset, Start).added;
+    // It grows in steps, up to all agents.
+    std::vector<std::string> chosen;
+    std::vector<std::string> added;
+    Time now = Start;
+    do {
+        added = subset::choose(subset, now).added;
+        chosen.insert(chosen.end(), added.begin(), added.end());
+        for (const std::string &agent : added)
+            subset::connected(subset, agent);
+        now += subset.settings.growPause;
+    } while (!added.empty());
+    return chosen;
 }
 
 jobs::EndpointView viewOfEndpoint()
@@ -107,8 +117,8 @@
     }
 }
 
-// An entry that is sent a job of eight tasks in each turn.
-HostCost costOfEntry(const std::vector<std::string> &agents)
+// An entry, busy if it is sent a job of eight tasks in each turn.
+HostCost costOfEntry(const std::vector<std::string> &agents, bool busy)
 {
     HostCost cost;
     cost.sessions = agents.size();
@@ -120,6 +130,8 @@
     int jobs = 0;
     for (Time now = Start; now < Start + Span; now += Turn) {
         answerSends(entry, scheduler::tick(entry, now), now, cost);
+        if (!busy)
+            continue;
         jobs::JobSpec spec;
         spec.id = "job-" + std::to_string(++jobs);
         jobs::StepSpec step;
@@ -171,13 +183,14 @@
     return cost;
 }
 
-struct FleetCost
+struct CountedCost
 {
-    HostCost entry;
+    HostCost busyEntry;
+    HostCost idleEntry;
     HostCost agent;
 };
 
-FleetCost costOf(const FleetSize &size)
+CountedCost costOf(const FleetSize &size)
 {
     const directory::DirectoryUpdate list = listOf(size);
     std::map<std::string, std::size_t> reachedBy;
@@ -192,8 +205,9 @@
     std::size_t sessions = 0;
     for (const auto &[agent, count] : reachedBy)
         sessions += count;
-    FleetCost cost;
-    cost.entry = costOfEntry(most);
+    CountedCost cost;
+    cost.busyEntry = costOfEntry(most, true);
+    cost.idleEntry = costOfEntry(most, false);
     cost.agent = costOfAgent((sessions + size.agents - 1) / size.agents);
     return cost;
 }
@@ -205,15 +219,48 @@
 
 TEST(FleetSize, AHostOfTwoThousandCostsWhatOneOfTwoHundredDoes)
 {
-    const FleetCost small = costOf({ 36, 164 });
-    const FleetCost large = costOf({ 360, 1640 });
-    EXPECT_GT(small.entry.messages(), 0U);
+    const CountedCost small = costOf({ 36, 164 });
+    const CountedCost large = costOf({ 360, 1640 });
+    EXPECT_GT(small.busyEntry.messages(), 0U);
     EXPECT_GT(small.agent.messages(), 0U);
-    EXPECT_LE(large.entry.messages() * 100, small.entry.messages() * MostGrowthPercent);
-    EXPECT_LE(large.entry.endpointsTried * 100, small.entry.endpointsTried * MostGrowthPercent);
+    EXPECT_LE(large.busyEntry.messages() * 100, small.busyEntry.messages() * MostGrowthPercent);
+    EXPECT_LE(large.busyEntry.endpointsTried * 100,
+              small.busyEntry.endpointsTried * MostGrowthPercent);
     EXPECT_LE(large.agent.messages() * 100, small.agent.messages() * MostGrowthPercent);
     EXPECT_LE(large.agent.sessions * 100, small.agent.sessions * MostGrowthPercent);
 }
 
+// What the capacity page foretells, by size of the fleet.
+class Foretold : public testing::TestWithParam<FleetSize>
+{ };
+
+TEST_P(Foretold, IsWhatIsCountedAtRest)
+{
+    const CountedCost counted = costOf(GetParam());
+    load::FleetShape shape;
+    shape.entries = GetParam().entries;
+    shape.agents = GetParam().agents;
+    shape.controlHosts = 0;
+    const load::FleetCost foretold = load::costAtRest(shape);
+    EXPECT_EQ(static_cast<double>(counted.idleEntry.sessions), foretold.entry.sessions);
+    const double span = std::chrono::duration<double>(Span).count();
+    const auto within = [&](const HostCost &host, double messagesPerSecond) {
+        EXPECT_NEAR(static_cast<double>(host.messages()) / span, messagesPerSecond,
+                    messagesPerSecond * 0.1);
+    };
+    within(counted.idleEntry, foretold.entry.messagesPerSecond);
+    // The busiest agent's sessions are whole.
+    within(counted.agent,
+           foretold.agent.messagesPerSecond * static_cast<double>(counted.agent.sessions)
+                   / foretold.agent.sessions);
+}
+
+INSTANTIATE_TEST_SUITE_P(FleetSize, Foretold,
+                         testing::Values(FleetSize { 6, 24 }, FleetSize { 55, 240 },
+                                         FleetSize { 360, 1640 }, FleetSize { 60, 2000 }),
+                         [](const auto &tested) {
+                             return "Agents" + std::to_string(tested.param.agents);
+                         });
+
 } // namespace
 } // namespace foxwing::test
