--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -10,8 +10,8 @@
 #include <algorithm>
 
 #include <foxwing/fabric/httpserver.h>
-#include <foxwing/subset/subset.h>
 
+#include "agentlinks.h"
 #include "core.h"
 #include "heldcalls.h"
 
@@ -39,13 +39,6 @@
 constexpr Milliseconds LastJobs { 1800 };
 constexpr Milliseconds LastAnswers { 300 };
 
-// An agent that no control host lists is forgotten once its connection is gone as well.
-struct AgentPeer
-{
-    std::unique_ptr<fabric::Dialer> dialer;
-    std::shared_ptr<fabric::Link> link;
-};
-
 class EntryShell : public RoleShell
 {
 public:
@@ -53,8 +46,7 @@
         : m_core(core)
         , m_dialect(dialect)
         , m_scheduler(scheduler::makeScheduler(core.settings.scheduler))
-        , m_subset(subset::makeSubset(subset::SubsetSettings(), core.settings.name,
-                                      core.settings.dataCentre))
+        , m_agents(core, agentEvents())
         , m_control(core, controlEvents())
     { }
 
@@ -80,14 +72,11 @@
     bool ready() const;
 
     // Agents
-    void keepAgent(const std::string &address);
-    void agentConnected(const std::string &address, const std::shared_ptr<fabric::Link> &link);
+    AgentEvents agentEvents();
+    void agentConnected(const std::string &address);
     void agentReceived(const std::string &address, std::string_view bytes);
-    void agentClosed(const std::string &address);
+    void keepAgents(Time now);
     std::size_t endpointsWithoutQueue() const;
-    void keepSubset(Time now);
-    void dropAgent(const std::string &address);
-    bool reachNeeds(const jobs::JobSpec &spec, const std::string &service, Time now);
 
     // Control
     ControlEvents controlEvents();
@@ -102,16 +91,13 @@
     Core &m_core;
     const Dialect &m_dialect;
     scheduler::SchedulerState m_scheduler;
-    subset::SubsetState m_subset;
+    AgentLinks m_agents;
     catalog::Catalog m_catalog;
     Time m_catalogAt {};
 
     // Control has told the cordons, if only that there are none.
     bool m_knowsCordons = false;
-    std::map<std::string, AgentPeer> m_agents;
-
     HeldCalls m_held;
-
     std::map<std::uint64_t, std::vector<ExchangePtr>> m_waiting;
     std::map<std::uint64_t, std::string> m_queueOf;
     std::map<std::uint64_t, Time> m_cameAt;
@@ -245,7 +231,8 @@
     terms.beginBy = cameAt + queue.timeout;
     if (call.patience)
         terms.patienceUntil = cameAt + *call.patience;
-    terms.suitableElsewhere = reachNeeds(*spec, queue.service, now);
+    terms.suitableElsewhere = m_agents.reach(*spec, queue.service, now);
+    keepAgents(now);
     std::uint64_t number = 0;
     scheduler::SchedulerActions actions = scheduler::submit(m_scheduler, *spec, terms, now,
                                                             &number);
@@ -293,53 +280,39 @@
 {
     for (const eventlog::Event &event : actions.events)
         writeEvent(m_core.log, event);
-    for (scheduler::AgentSend &send : actions.sends) {
-        const auto agent = m_agents.find(send.agent);
-        if (agent == m_agents.end() || !agent->second.link)
-            continue;
-        agent->second.link->send(
-                std::visit([](auto &message) { return encodeFrame(Frame(std::move(message))); },
-                           send.message));
-    }
+    for (scheduler::AgentSend &send : actions.sends)
+        std::visit([&](auto &message) { m_agents.send(send.agent, Frame(std::move(message))); },
+                   send.message);
     for (const scheduler::JobAnswer &given : actions.answers)
         answer(given);
-    for (const std::string &name : actions.closes) {
-        const auto agent = m_agents.find(name);
-        if (agent != m_agents.end() && agent->second.link)
-            agent->second.link->close();
-    }
+    for (const std::string &name : actions.closes)
+        m_agents.close(name);
 }
 
 // [SECTION] Agents
 
-void EntryShell::keepAgent(const std::string &address)
+AgentEvents EntryShell::agentEvents()
 {
-    if (m_agents.count(address) != 0)
-        return;
-    AgentPeer &peer = m_agents[address];
-    peer.dialer =
-            std::make_unique<fabric::Dialer>(m_core.io, address, fabric::DialerSettings(),
-                                             [this,
-                                              address](const std::shared_ptr<fabric::Link> &link) {
-                                                 agentConnected(address, link);
-                                             });
+    AgentEvents events;
+    events.connected = [this](const std::string &address) { agentConnected(address); };
+    events.received = [this](const std::string &address, std::string_view bytes) {
+        agentReceived(address, bytes);
+    };
+    events.lost = [this](const std::string &address) {
+        carryOut(scheduler::agentLost(m_scheduler, address, steadyNow()));
+    };
+    events.release = [this](const std::string &address) {
+        return scheduler::releaseAgent(m_scheduler, address);
+    };
+    return events;
 }
 
-void EntryShell::agentConnected(const std::string &address,
-                                const std::shared_ptr<fabric::Link> &link)
+void EntryShell::agentConnected(const std::string &address)
 {
-    m_agents.at(address).link = link;
-    subset::connected(m_subset, address);
-    link->start([this, address](std::string_view bytes) { agentReceived(address, bytes); },
-                [this, address, link = link.get()] {
-                    const auto agent = m_agents.find(address);
-                    if (agent != m_agents.end() && agent->second.link.get() == link)
-                        agentClosed(address);
-                });
     OpenSession open { m_core.settings.name, {} };
     if (m_knowsCordons)
         open.cordons.push_back(m_scheduler.cordons);
-    link->send(encodeFrame(Frame(std::move(open))));
+    m_agents.send(address, Frame(std::move(open)));
     carryOut(scheduler::agentConnected(m_scheduler, address, steadyNow()));
 }
 
@@ -356,54 +329,10 @@
         carryOut(scheduler::agentWelcomed(m_scheduler, address, *welcome, now));
 }
 
-void EntryShell::agentClosed(const std::string &address)
-{
-    AgentPeer &peer = m_agents.at(address);
-    peer.link.reset();
-    peer.dialer->lost();
-    const Time now = steadyNow();
-    subset::connectionLost(m_subset, address, now);
-    carryOut(scheduler::agentLost(m_scheduler, address, now));
-}
-
-// Opens and gives up sessions, so that those that are kept follow the subset.
-void EntryShell::keepSubset(Time now)
+void EntryShell::keepAgents(Time now)
 {
-    if (now < m_scheduler.wantsRoomUntil)
-        subset::wantMore(m_subset, now);
-    const subset::SubsetChanges changes = subset::choose(m_subset, now);
-    for (const std::string &address : changes.added)
-        keepAgent(address);
-    for (const std::string &address : changes.gone)
-        m_agents.erase(address);
-    for (const std::string &address : changes.spare)
-        dropAgent(address);
-    m_scheduler.entries = m_subset.sharingEntries;
-}
-
-void EntryShell::dropAgent(const std::string &address)
-{
-    if (!scheduler::releaseAgent(m_scheduler, address))
-        return;
-    const auto agent = m_agents.find(address);
-    if (agent != m_agents.end() && agent->second.link)
-        agent->second.link->close();
-    m_agents.erase(address);
-    subset::dropped(m_subset, address);
-}
-
-// Whether each step of the job finds an endpoint in the fleet, in the subset or not; where it is
-// not in the subset, sessions with some are opened.
-bool EntryShell::reachNeeds(const jobs::JobSpec &spec, const std::string &service, Time now)
-{
-    bool all = true;
-    for (const jobs::StepSpec &step : spec.steps) {
-        all &= subset::reach(m_subset, { service, step.label, "", step.room }, now);
-        if (!step.rack.empty())
-            subset::reach(m_subset, { service, step.label, step.rack, step.room }, now);
-    }
-    keepSubset(now);
-    return all;
+    m_agents.keep(now < m_scheduler.wantsRoomUntil, now);
+    m_scheduler.entries = m_agents.subset().sharingEntries;
 }
 
 // [SECTION] Control
@@ -418,16 +347,14 @@
         takeCordons(push.cordons);
         takeCatalog(push.catalog);
     };
-    events.forgotten = [this](const std::string &host) {
-        subset::forgetControlHost(m_subset, host);
-    };
+    events.forgotten = [this](const std::string &host) { m_agents.forgetControlHost(host); };
     return events;
 }
 
 void EntryShell::takeDirectory(const std::string &from, const directory::DirectoryUpdate &update)
 {
-    subset::takeUpdate(m_subset, from, update);
-    keepSubset(steadyNow());
+    m_agents.takeUpdate(from, update);
+    keepAgents(steadyNow());
 }
 
 void EntryShell::takeCordons(const catalog::Cordons &cordons)
@@ -441,8 +368,8 @@
                        .with("before", m_scheduler.cordons.revision)
                        .with("data_centres", joinedNames(cordons)));
     const Time now = steadyNow();
-    subset::takeCordons(m_subset, cordons);
-    keepSubset(now);
+    m_agents.takeCordons(cordons);
+    keepAgents(now);
     carryOut(scheduler::takeCordons(m_scheduler, cordons, now));
 }
 
@@ -480,10 +407,7 @@
         return;
     writeEvent(m_core.log, change("paused").with("for_ms", pause));
     carryOut(scheduler::giveUpAll(m_scheduler, "this entry stood still", now));
-    for (auto &[address, peer] : m_agents) {
-        if (peer.link)
-            peer.link->close();
-    }
+    m_agents.closeAll();
 }
 
 void EntryShell::tick(Time now)
@@ -491,7 +415,7 @@
     checkPause(now);
     refuseHeld(now);
     m_control.tick(now);
-    keepSubset(now);
+    keepAgents(now);
     carryOut(scheduler::tick(m_scheduler, now));
 }
 
@@ -556,9 +480,10 @@
     gauge("foxwing_jobs_open", "Jobs not answered yet", scheduler::openJobs(m_scheduler));
     gauge("foxwing_jobs_waiting", "Jobs with tasks that wait", m_scheduler.queue.size());
     gauge("foxwing_agents", "Agents in touch", m_scheduler.agents.size());
-    gauge("foxwing_agents_listed", "Agents that control hosts list", m_subset.agents.size());
+    gauge("foxwing_agents_listed", "Agents that control hosts list",
+          m_agents.subset().agents.size());
     gauge("foxwing_agents_chosen", "Agents that sessions are kept with",
-          subset::keptAgents(m_subset));
+          subset::keptAgents(m_agents.subset()));
     gauge("foxwing_endpoints_without_queue", "Endpoints whose service no queue names",
           endpointsWithoutQueue());
     gauge("foxwing_control_hosts", "Control hosts in touch", m_control.connected());
