Soak entries that work with a part of the agents; subset size is a setting

Cause: the soak's fleets are so small that each entry took all agents, so real processes never grew, released or dialled a subset anew.

Change: subset_size and entries_per_agent in [policy]; half of the seeds play entries with a third of the agents, which widen under load. What a seed plays otherwise is unchanged (drawn apart).

--- a/packages/fleet/include/foxwing/fleet/settings.h
+++ b/packages/fleet/include/foxwing/fleet/settings.h
@@ -23,6 +23,7 @@
 #include <foxwing/eventlog/eventlog.h>
 #include <foxwing/runner/runner.h>
 #include <foxwing/scheduler/scheduler.h>
+#include <foxwing/subset/subset.h>
 
 namespace foxwing::fleet {
 
@@ -78,10 +79,12 @@
     // A caller that lost its entry sends its job again after this long.
     Milliseconds resendAfter { 1300 };
 
-    // [policy], entries only: which job goes next and which is refused. The rest is not read from
+    // [policy], entries only: which job goes next, which is refused, and how many agents an entry
+    // works with. The rest is not read from
     // the file; here so that tests and experiments can set it.
     scheduler::SchedulerSettings scheduler;
     runner::RunnerSettings runner;
+    subset::SubsetSettings subset;
     eventlog::EventLogSettings log;
 };
 
--- a/packages/fleet/src/agentlinks.cpp
+++ b/packages/fleet/src/agentlinks.cpp
@@ -12,7 +12,7 @@
 AgentLinks::AgentLinks(Core &core, AgentEvents events)
     : m_core(core)
     , m_events(std::move(events))
-    , m_subset(subset::makeSubset(subset::SubsetSettings(), core.settings.name,
+    , m_subset(subset::makeSubset(core.settings.subset, core.settings.name,
                                   core.settings.dataCentre))
 { }
 
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -124,6 +124,8 @@
     table.whole("wait_percent", policy.waitPercent, 0, 100);
     table.flag("learn_run_times", policy.learnRunTimes);
     table.flag("move_runs", policy.moveRuns);
+    table.whole("subset_size", settings.subset.least, 1, 100000);
+    table.whole("entries_per_agent", settings.subset.entriesPerAgent, 1, 1000);
     table.flag("judge_endpoint", settings.runner.judgeEndpoint);
     table.finish();
 }
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -44,6 +44,8 @@
 wait_percent = 0
 away_percent = 40
 far_factor = 3
+subset_size = 12
+entries_per_agent = 3
 placement = "most-room"
 learn_run_times = false
 move_runs = false
@@ -61,6 +63,8 @@
     EXPECT_EQ(settings->scheduler.dataCentre, "oviedo");
     EXPECT_EQ(settings->scheduler.awayPercent, 40U);
     EXPECT_EQ(settings->scheduler.farFactor, 3);
+    EXPECT_EQ(settings->subset.least, 12U);
+    EXPECT_EQ(settings->subset.entriesPerAgent, 3U);
     EXPECT_EQ(innerAddress(*settings), "10.1.0.13:7720");
     EXPECT_EQ(seedAddresses(*settings),
               (std::vector<std::string> { "10.1.0.17:7720", "10.2.0.34:7720" }));
@@ -115,6 +119,7 @@
                 BadCase { "Wait", "wait_percent = 0", "wait_percent = 101", "wait_percent" },
                 BadCase { "Away", "= 40", "= -1", "away_percent" },
                 BadCase { "Far", "far_factor = 3", "far_factor = 0.5", "far_factor" },
+                BadCase { "NoSubset", "subset_size = 12", "subset_size = 0", "subset_size" },
                 BadCase { "AtArrival", "= 150", "= -1", "refuse_at_arrival_percent" },
                 BadCase { "Margin", "= 20", "= -1", "margin_percent" },
                 BadCase { "Grace", "= 6", "= \"long\"", "stop_grace" }),
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -125,6 +125,7 @@
         self.port = f"{self.inner_ip}:8161"
         self.endpoint = f"127.{block + 4}.1.{number}:8165"
         self.process, self.paused, self.life = None, False, 0
+        self.policy = ""
         self.on_start = lambda: None
 
     def settings(self):
@@ -136,7 +137,7 @@
         return (f'[node]\nname = "{self.name}"\nrole = "{self.role}"\nip = "{self.ip}"\n{data}\n'
                 f'[cluster]\ninner_port = {INNER_PORT}\nseeds = [{seeds}]\n'
                 f'first_start = {"true" if self.first else "false"}\n\n[listen]\n'
-                f'inner = "{self.inner_ip}:{INNER_PORT}"\n{listen}\n')
+                f'inner = "{self.inner_ip}:{INNER_PORT}"\n{listen}\n{self.policy}')
 
     async def start(self):
         os.makedirs(f"{self.folder}/{self.name}", exist_ok=True)
@@ -187,6 +188,12 @@
 
         self.entries, self.agents = make("entry", options.entries), make("agent", options.agents)
         self.controls = make("control", CONTROLS)
+        # Half of the seeds play entries that work with a part of the agents only. Drawn apart, so
+        # that what else a seed plays stays the same.
+        subset = random.Random(options.seed).choice([0, max(1, options.agents // 3)])
+        for entry in self.entries:
+            entry.policy = (f"\n[policy]\nsubset_size = {subset}\nentries_per_agent = 1\n"
+                            if subset else "")
         self.endpoints = [standins.Endpoint(agent.number, agent.endpoint, agent.port, ledger, CAPACITY)
                           for agent in self.agents]
         for agent, endpoint in zip(self.agents, self.endpoints):
