Read the change as a newcomer: one rank for agents, shorter functions

The order of agents stood twice (choice and needs); choose() and runEnded() held what has a name of its own. An empty frame is logged as unreadable again. Nothing else changes.

--- a/packages/fleet/src/core.cpp
+++ b/packages/fleet/src/core.cpp
@@ -134,7 +134,7 @@
     peer.heardAt = steadyNow();
     const std::string from = peer.dialer->address();
     heard(m_book, from, peer.heardAt);
-    if (bytes == m_lastAgreed)
+    if (!bytes.empty() && bytes == m_lastAgreed)
         return;
     const auto frame = readFrame(m_core, from, bytes);
     if (!frame)
--- a/packages/scheduler/src/ending.cpp
+++ b/packages/scheduler/src/ending.cpp
@@ -314,6 +314,23 @@
               now, actions);
 }
 
+// Room that came free in a cordoned data centre is no room for what waits.
+void noteRoomOf(SchedulerState &scheduler, const std::string &agent, const Job &job,
+                const Task &task, Time now)
+{
+    const auto from = scheduler.agents.find(agent);
+    if (from != scheduler.agents.end() && !isCordoned(scheduler, from->second))
+        noteFreed(scheduler, job.terms.service, job.spec.steps[task.step].room, now);
+}
+
+// Whether the end says that the endpoint is gone, and it had not said that it leaves.
+bool isCrash(const SchedulerState &scheduler, const std::string &agent, RunEnd end)
+{
+    const auto from = scheduler.agents.find(agent);
+    const bool leaving = from != scheduler.agents.end() && from->second.endpoint.leaving;
+    return end == RunEnd::Lost && !leaving;
+}
+
 } // namespace
 
 void runEnded(SchedulerState &scheduler, const std::string &agent, const jobs::RunReport &report,
@@ -328,18 +345,14 @@
         ++scheduler.counters.startsRefused;
     else
         job->mayHaveBegun = true;
-    // Room that came free in a cordoned data centre is no room for what waits.
-    const auto from = scheduler.agents.find(agent);
-    const bool usable = from != scheduler.agents.end() && !isCordoned(scheduler, from->second);
-    const bool leaving = from != scheduler.agents.end() && from->second.endpoint.leaving;
-    if (report.end != RunEnd::NeverBegan && usable)
-        noteFreed(scheduler, job->terms.service, job->spec.steps[task->step].room, now);
+    if (report.end != RunEnd::NeverBegan)
+        noteRoomOf(scheduler, agent, *job, *task, now);
     if (report.end == RunEnd::Done && !job->over) {
         taskDone(scheduler, *job, *task, report.took, now, actions);
     } else if (report.end == RunEnd::Failed && !job->over) {
         actions.events.push_back(taskEvent("task-failed", *job, *task).with("ran_ms", report.took));
         taskFailed(scheduler, *job, *task, now, actions);
-    } else if (report.end == RunEnd::Lost && !leaving && !job->over) {
+    } else if (isCrash(scheduler, agent, report.end) && !job->over) {
         taskCrashed(scheduler, *job, *task, now, actions);
     } else {
         const bool surprise = !job->over && report.refused != RefusedStart::NoRoom;
--- a/packages/subset/include/foxwing/subset/subset.h
+++ b/packages/subset/include/foxwing/subset/subset.h
@@ -180,6 +180,9 @@
 // What has to change for the subset to be as it should. Cheap when nothing has changed.
 SubsetChanges choose(SubsetState &subset, Time now);
 
+// Whether the entry works with one rather than with the other.
+bool goesFirst(const ListedAgent *left, const ListedAgent *right);
+
 // Agents that sessions are kept with, or being opened.
 std::size_t keptAgents(const SubsetState &subset);
 
--- a/packages/subset/src/choosing.cpp
+++ b/packages/subset/src/choosing.cpp
@@ -85,12 +85,8 @@
         if (!catalog::isCordoned(subset.cordons, agent.node.dataCentre))
             services[agent.node.service].push_back(&agent);
     }
-    for (auto &[service, agents] : services) {
-        std::sort(agents.begin(), agents.end(),
-                  [](const ListedAgent *left, const ListedAgent *right) {
-                      return left->weight > right->weight;
-                  });
-    }
+    for (auto &[service, agents] : services)
+        std::sort(agents.begin(), agents.end(), goesFirst);
     return services;
 }
 
@@ -147,9 +143,21 @@
 
 // [SECTION] Changes
 
+void noteChosen(const std::string &address, ListedAgent &agent, Time now, SubsetChanges &changes)
+{
+    agent.spare = false;
+    if (agent.kept)
+        return;
+    agent.kept = true;
+    agent.awaySince = now;
+    changes.added.push_back(address);
+}
+
 void noteUnchosen(const SubsetState &subset, const std::string &address, ListedAgent &agent,
                   Time now, SubsetChanges &changes)
 {
+    if (!agent.kept)
+        return;
     if (!agent.spare) {
         agent.spare = true;
         agent.spareSince = now;
@@ -189,16 +197,10 @@
             item = subset.agents.erase(item);
             continue;
         }
-        if (chosen.count(&agent) == 0 && agent.kept) {
+        if (chosen.count(&agent) != 0)
+            noteChosen(address, agent, now, changes);
+        else
             noteUnchosen(subset, address, agent, now, changes);
-        } else if (chosen.count(&agent) != 0) {
-            agent.spare = false;
-            if (!agent.kept) {
-                agent.kept = true;
-                agent.awaySince = now;
-                changes.added.push_back(address);
-            }
-        }
         ++item;
     }
     subset.sharingEntries = sharing(subset);
--- a/packages/subset/src/subset.cpp
+++ b/packages/subset/src/subset.cpp
@@ -120,6 +120,11 @@
     subset.changed = true;
 }
 
+bool goesFirst(const ListedAgent *left, const ListedAgent *right)
+{
+    return left->weight > right->weight;
+}
+
 std::size_t keptAgents(const SubsetState &subset)
 {
     return static_cast<std::size_t>(
@@ -161,9 +166,7 @@
     }
     const std::size_t wanted = std::min(subset.settings.perNeed, meeting.size());
     std::partial_sort(meeting.begin(), meeting.begin() + static_cast<std::ptrdiff_t>(wanted),
-                      meeting.end(), [](const ListedAgent *left, const ListedAgent *right) {
-                          return left->weight > right->weight;
-                      });
+                      meeting.end(), goesFirst);
     for (std::size_t i = 0; i < wanted; ++i)
         meeting[i]->neededUntil = now + subset.settings.needFor;
     subset.changed |= wanted > 0;
