Tell a crash of an endpoint from its leaving; give up after three, not as failed

"Give up tasks under which endpoints crash" took each endpoint that was gone for crashed: also one that left or was replaced, whose next life had hidden that it had said so. And two crashes do come under an innocent task where endpoints go down and up by turns; its job was then shown as failed without cause.

Change: agents tell the two ends apart (crashed, lost); a task is given up after three crashes, as timed out (504).

--- a/packages/jobs/include/foxwing/jobs/messages.h
+++ b/packages/jobs/include/foxwing/jobs/messages.h
@@ -104,15 +104,18 @@
     // Killed at the end of the endpoint's lease
     Lapsed,
 
-    // Its endpoint is gone.
+    // Its endpoint is gone, as it had said.
     Lost,
 
     // Certainly never began.
     NeverBegan,
+
+    // Its endpoint is gone and had not said that it leaves.
+    Crashed,
 };
 constexpr RunEnd lastOf(RunEnd)
 {
-    return RunEnd::NeverBegan;
+    return RunEnd::Crashed;
 }
 
 const char *toString(RunEnd end);
--- a/packages/jobs/src/messages.cpp
+++ b/packages/jobs/src/messages.cpp
@@ -22,6 +22,8 @@
         return "lapsed";
     case RunEnd::Lost:
         return "lost";
+    case RunEnd::Crashed:
+        return "crashed";
     case RunEnd::NeverBegan:
         break;
     }
--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -289,6 +289,9 @@
     // Ordered in a former life of the endpoint, and not seen in the present one yet
     bool ofFormerLife = false;
 
+    // How it ended if it was lost with that life
+    jobs::RunEnd formerEnd = jobs::RunEnd::Lost;
+
     std::uint32_t percent = 0;
     Time progressAt {};
     bool behind = false;
--- a/packages/runner/src/answers.cpp
+++ b/packages/runner/src/answers.cpp
@@ -180,7 +180,7 @@
 {
     // It may have begun in the life that is over.
     if (run.ofFormerLife)
-        return RunEnd::Lost;
+        return run.formerEnd;
     return run.seen ? RunEnd::Stopped : RunEnd::NeverBegan;
 }
 
@@ -232,7 +232,7 @@
     // it.
     const bool gone = answered.answer == Answer::Unreachable && runner.life.looksFailed > 1;
     if (gone || answered.answer == Answer::OtherLife)
-        endAll(runner, RunEnd::Lost, toString(answered.answer), now, actions);
+        endAll(runner, endOfLife(runner), toString(answered.answer), now, actions);
     if (answered.answer == Answer::OtherLife)
         lifeDisowned(runner, now, actions);
 }
--- a/packages/runner/src/internal.h
+++ b/packages/runner/src/internal.h
@@ -85,6 +85,9 @@
 void endAll(RunnerState &runner, jobs::RunEnd end, const char *why, Time now,
             RunnerActions &actions);
 
+// How runs ended that the present life has taken along.
+jobs::RunEnd endOfLife(const RunnerState &runner);
+
 // A list of runs came from another life than the present one.
 void lifeListed(RunnerState &runner, const LifeId &life, Time now, RunnerActions &actions);
 
--- a/packages/runner/src/lives.cpp
+++ b/packages/runner/src/lives.cpp
@@ -76,6 +76,11 @@
     runner.life.orphans.clear();
 }
 
+RunEnd endOfLife(const RunnerState &runner)
+{
+    return runner.endpoint.leaving ? RunEnd::Lost : RunEnd::Crashed;
+}
+
 namespace {
 
 // Orders that were on their way when an endpoint began again under its id may have reached either
@@ -85,6 +90,7 @@
 {
     for (auto &[id, run] : runner.runs) {
         run.ofFormerLife = true;
+        run.formerEnd = endOfLife(runner);
         run.goneIfMissingIn = runner.lookNumber + 1;
     }
     fenceOffOrders(runner);
@@ -118,7 +124,7 @@
     if (life.id == runner.endpoint.life.id)
         leaveRunsToNextList(runner);
     else
-        endAll(runner, RunEnd::Lost, "another life of the endpoint", now, actions);
+        endAll(runner, endOfLife(runner), "another life of the endpoint", now, actions);
     rememberFormerLife(runner);
     runner.endpoint = EndpointReport();
     runner.endpoint.life = life;
--- a/packages/runner/tests/orders_test.cpp
+++ b/packages/runner/tests/orders_test.cpp
@@ -167,6 +167,19 @@
     bench.start(2);
     const auto ends = endsIn(bench.replacedBy("life-2"));
     ASSERT_EQ(ends.size(), 2U);
+    EXPECT_EQ(ends[0].end, RunEnd::Crashed);
+}
+
+// What an endpoint takes along that had said that it leaves speaks against no task.
+TEST(RunnerLives, AnEndpointThatLeftHasNotCrashed)
+{
+    Bench bench;
+    bench.start(1);
+    EndpointReport report = makeReport("life-1", 2);
+    report.leaving = true;
+    endpointHeard(bench.runner, report, bench.now);
+    const auto ends = endsIn(bench.replacedBy("life-2"));
+    ASSERT_EQ(ends.size(), 1U);
     EXPECT_EQ(ends[0].end, RunEnd::Lost);
 }
 
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -133,11 +133,12 @@
     // Up to this many times its objective after it came, a job is still worth finishing.
     double lateFactor = 3.0;
 
-    // A task under which so many endpoints have crashed is given up: it may be what crashes them,
-    // and each try takes all that runs beside it along.
-    std::uint32_t mostCrashes = 2;
+    // A task under which so many endpoints have crashed is given up: it is likely to be what
+    // crashes them, and each try takes all that runs beside it along. Two crash under many a task
+    // by themselves while endpoints go down and up by turns.
+    std::uint32_t mostCrashes = 3;
 
-    // Its job is failed at once when it is sent again within this time: above any deadline of those
+    // Its job is given up at once when it is sent again within this time: above any deadline of those
     // who wait for it.
     Milliseconds crashingFor { 60000 };
 
@@ -221,7 +222,7 @@
     std::uint32_t run = 0;
     std::uint32_t failures = 0;
 
-    // Endpoints that were gone, and had not said that they leave, while it ran there
+    // Endpoints that crashed while it ran there
     std::uint32_t crashes = 0;
     std::string agent;
     Time placedAt {};
@@ -414,7 +415,7 @@
     // Certainly nothing of it ran and nothing will.
     NotRun,
 
-    // Given up with work begun; whatever runs is being stopped.
+    // Given up with work begun, or sent again after that; whatever runs is being stopped.
     TimedOut,
 };
 
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -218,7 +218,7 @@
     job.number = ++scheduler.lastNumber;
     *number = job.number;
     if (isCrashing(scheduler, spec.id, now)) {
-        refuse(scheduler, job, JobOutcome::Failed, "endpoints have crashed under it before", now,
+        refuse(scheduler, job, JobOutcome::TimedOut, "endpoints have crashed under it before", now,
                actions);
         return actions;
     }
--- a/packages/scheduler/src/ending.cpp
+++ b/packages/scheduler/src/ending.cpp
@@ -307,7 +307,7 @@
         return;
     ++scheduler.counters.crashingJobs;
     scheduler.crashing[job.spec.id] = now + scheduler.settings.crashingFor;
-    answerJob(scheduler, job, JobOutcome::Failed,
+    answerJob(scheduler, job, JobOutcome::TimedOut,
               std::to_string(task.crashes) + " endpoints crashed under task "
                       + std::to_string(task.step) + "." + std::to_string(task.index) + ", last at "
                       + agent,
@@ -323,14 +323,6 @@
         noteFreed(scheduler, job.terms.service, job.spec.steps[task.step].room, now);
 }
 
-// Whether the end says that the endpoint is gone, and it had not said that it leaves.
-bool isCrash(const SchedulerState &scheduler, const std::string &agent, RunEnd end)
-{
-    const auto from = scheduler.agents.find(agent);
-    const bool leaving = from != scheduler.agents.end() && from->second.endpoint.leaving;
-    return end == RunEnd::Lost && !leaving;
-}
-
 } // namespace
 
 void runEnded(SchedulerState &scheduler, const std::string &agent, const jobs::RunReport &report,
@@ -352,7 +344,7 @@
     } else if (report.end == RunEnd::Failed && !job->over) {
         actions.events.push_back(taskEvent("task-failed", *job, *task).with("ran_ms", report.took));
         taskFailed(scheduler, *job, *task, now, actions);
-    } else if (isCrash(scheduler, agent, report.end) && !job->over) {
+    } else if (report.end == RunEnd::Crashed && !job->over) {
         taskCrashed(scheduler, *job, *task, now, actions);
     } else {
         const bool surprise = !job->over && report.refused != RefusedStart::NoRoom;
