Headers of the parts for hard load, and two loads for the replay

Cause: in an overload each entry gives freed room to its own work; another entry's more urgent jobs are refused meanwhile.

Change: a setting for which queues' starts wait at agents (as before by default: the most urgent one); an agent's update has a place for what waits there and for the pace of freed room (filled later); headers of three packages (shares, forecast, lag), so that they can be built side by side; the load replay gains two loads as tables of numbers, competing queues and uneven endpoints, and tells calls served and refusals within 5 ms.

Not decided by this commit: the default stays.

--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -115,6 +115,13 @@
         policy.placement = *knownPlacement;
     else
         table.refuse("placement", "must be \"fastest\", \"random\" or \"most-room\"");
+    std::string waiting = scheduler::toString(policy.waitingQueues);
+    table.text("waiting_queues", waiting);
+    const auto knownWaiting = scheduler::waitingQueuesNamed(waiting);
+    if (knownWaiting)
+        policy.waitingQueues = *knownWaiting;
+    else
+        table.refuse("waiting_queues", "must be \"most-urgent\" or \"all-but-least\"");
     table.whole("margin_percent", policy.marginPercent, 0, 1000);
     table.number("refuse_above", policy.refuseAbove, 0.01, 100);
     table.number("far_factor", policy.farFactor, 1, 100);
--- /dev/null
+++ b/packages/forecast/src/forecast.cpp
@@ -0,0 +1,1 @@
+#include <foxwing/forecast/forecast.h>
--- a/packages/jobs/include/foxwing/jobs/messages.h
+++ b/packages/jobs/include/foxwing/jobs/messages.h
@@ -217,6 +217,19 @@
     fields("leaving", view.leaving);
 }
 
+// Starts that wait at an agent for room, of one priority.
+struct WaitingRoom
+{
+    std::uint32_t priority = 0;
+    std::int64_t milliCores = 0;
+};
+template<class Fields>
+void describe(Fields &fields, WaitingRoom &waiting)
+{
+    fields("priority", waiting.priority);
+    fields("milliCores", waiting.milliCores);
+}
+
 struct Welcome
 {
     // One life of the agent
@@ -242,6 +255,12 @@
     std::uint32_t mostStarts = 0;
     std::uint32_t paceMille = 1000;
     bool leaving = false;
+
+    // Starts of all entries that wait here, a row for each priority; most urgent first
+    std::vector<WaitingRoom> waiting;
+
+    // Room that runs of all entries gave back here of late, in thousandths of a core a second
+    std::uint32_t freedPerSecond = 0;
     std::vector<RunReport> ended;
     std::vector<LagReport> lagging;
 
@@ -257,6 +276,8 @@
     fields("mostStarts", update.mostStarts);
     fields("paceMille", update.paceMille);
     fields("leaving", update.leaving);
+    fields("waiting", update.waiting);
+    fields("freedPerSecond", update.freedPerSecond);
     fields("ended", update.ended);
     fields("lagging", update.lagging);
     fields("endpoint", update.endpoint);
--- /dev/null
+++ b/packages/lag/src/lag.cpp
@@ -0,0 +1,1 @@
+#include <foxwing/lag/lag.h>
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -66,9 +66,20 @@
     LeastWork,
 };
 
+// Whose starts may wait at agents for room, so that freed room goes by priority over all entries.
+enum class WaitingQueues {
+    // Those of the most urgent priority, where there is another
+    MostUrgent,
+
+    // Those of all priorities but the least urgent
+    AllButLeast,
+};
+
 const char *toString(Placement placement);
 std::optional<Placement> placementNamed(const std::string &name);
 const char *toString(Order order);
+const char *toString(WaitingQueues queues);
+std::optional<WaitingQueues> waitingQueuesNamed(const std::string &name);
 std::optional<Order> orderNamed(const std::string &name);
 
 struct SchedulerSettings
@@ -127,6 +138,8 @@
     // late; with it, 2 and 5 percent (two bursts with endpoints cut off, one play each).
     std::int64_t waitPercent = 15;
 
+    WaitingQueues waitingQueues = WaitingQueues::MostUrgent;
+
     // A start waits at an agent for no longer; then another one may be better.
     Milliseconds mostWait { 50 };
 
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -210,8 +210,9 @@
 // How long the job's starts may wait at an agent.
 Milliseconds waitFor(const SchedulerState &scheduler, const Job &job, Time now)
 {
-    const bool first = job.terms.priority <= scheduler.mostUrgent
-            && job.terms.priority < scheduler.leastUrgent;
+    const bool all = scheduler.settings.waitingQueues == WaitingQueues::AllButLeast;
+    const bool first = job.terms.priority < scheduler.leastUrgent
+            && (all || job.terms.priority <= scheduler.mostUrgent);
     // What is late and has not begun is refused at the next tick.
     const bool late = scheduler.settings.refuseLate && now > job.onTimeUntil
             && certainlyNotBegun(job);
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -84,6 +84,20 @@
     return std::nullopt;
 }
 
+const char *toString(WaitingQueues queues)
+{
+    return queues == WaitingQueues::MostUrgent ? "most-urgent" : "all-but-least";
+}
+
+std::optional<WaitingQueues> waitingQueuesNamed(const std::string &name)
+{
+    for (const WaitingQueues queues : { WaitingQueues::MostUrgent, WaitingQueues::AllButLeast }) {
+        if (name == toString(queues))
+            return queues;
+    }
+    return std::nullopt;
+}
+
 SchedulerState makeScheduler(const SchedulerSettings &settings)
 {
     SchedulerState scheduler;
--- /dev/null
+++ b/packages/shares/include/foxwing/shares/shares.h
@@ -0,0 +1,73 @@
+/*
+    What each queue is served of the work it asks for while room lacks, and which queues have
+    fallen below their floor.
+
+    Priorities decide who goes first. In a long overload they alone would leave the least urgent
+    queue with nothing; so each queue has a floor: a part of what it asked for of late. A queue
+    below it goes before others until it is above again.
+
+        ShareState shares;
+        noteAsked(shares, "route-check", work, now);
+        noteRefused(shares, "route-check", work, now);
+        if (isBelowFloor(shares, "route-check", now)) ... let its next job go first ...
+
+    [SECTION] Settings
+    [SECTION] State
+    [SECTION] Functions
+*/
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include <foxwing/base/time.h>
+
+namespace foxwing::shares {
+
+// [SECTION] Settings
+
+struct ShareSettings
+{
+    // Each queue is to be served at least this part of the work it asked for, in percent; zero:
+    // there is no floor, and priorities alone decide.
+    std::uint32_t floorPercent = 0;
+
+    // What was asked and refused counts for about this long.
+    Milliseconds span { 2000 };
+};
+
+// [SECTION] State
+
+// Work in thousandths of a core times milliseconds, old work fading
+struct QueueShare
+{
+    double asked = 0;
+    double refused = 0;
+    Time at {};
+};
+
+struct ShareState
+{
+    ShareSettings settings;
+    std::map<std::string, QueueShare> queues;
+};
+
+// [SECTION] Functions
+
+// A job of so much work has come.
+void noteAsked(ShareState &shares, const std::string &queue, std::int64_t work, Time now);
+
+// Such a job was refused since room lacked.
+void noteRefused(ShareState &shares, const std::string &queue, std::int64_t work, Time now);
+
+// What was served of what was asked of late; 100 for a queue that asked for nothing.
+std::uint32_t servedPercent(const ShareState &shares, const std::string &queue, Time now);
+
+bool isBelowFloor(const ShareState &shares, const std::string &queue, Time now);
+
+// Other queues are declared: forgets those that are gone.
+void keepQueues(ShareState &shares, const std::set<std::string> &declared);
+
+} // namespace foxwing::shares
--- /dev/null
+++ b/packages/shares/src/shares.cpp
@@ -0,0 +1,1 @@
+#include <foxwing/shares/shares.h>
--- a/tests/rig/main.cpp
+++ b/tests/rig/main.cpp
@@ -1,7 +1,7 @@
 /*
     Plays the load replay under several ways of deciding, and prints a table of each spell.
 
-        policy_rig [seeds]
+        policy_rig [seeds [part of a spell's name [part of a way's name]]]
 
     [SECTION] Ways
     [SECTION] Main
@@ -30,6 +30,10 @@
     using foxwing::scheduler::Order;
     return {
         { "as it stands", [](RigSettings &) {} },
+        { "all but the least urgent queue wait at agents",
+          [](RigSettings &s) {
+              s.scheduler.waitingQueues = foxwing::scheduler::WaitingQueues::AllButLeast;
+          } },
         { "late jobs wait on", [](RigSettings &s) { s.scheduler.refuseLate = false; } },
         { "nothing waits at agents", [](RigSettings &s) { s.scheduler.waitPercent = 0; } },
         { "endpoints are not judged", [](RigSettings &s) { s.runner.judgeEndpoint = false; } },
@@ -59,6 +63,8 @@
         const RigReport one = foxwing::test::play(settings);
         const auto part = 1.0 / static_cast<double>(seeds);
         sum.creditPercent += part * one.creditPercent;
+        sum.servedPercent += part * one.servedPercent;
+        sum.refusedAtOncePercent += part * one.refusedAtOncePercent;
         sum.startsPerTask += part * one.startsPerTask;
         sum.idleWhileWaiting += part * one.idleWhileWaiting;
         sum.refusedWithRoom += one.refusedWithRoom;
@@ -78,11 +84,15 @@
     return sum;
 }
 
-void printSpell(const char *name, RigSettings (*spell)(std::uint64_t), std::uint64_t seeds)
+// Prints what the ways whose names contain the text have done in one spell.
+void printSpell(const char *name, RigSettings (*spell)(std::uint64_t), std::uint64_t seeds,
+                const std::string &only)
 {
     std::vector<std::pair<std::string, RigReport>> rows;
-    for (const Way &way : ways())
-        rows.emplace_back(way.name, playSeeds(spell, way, seeds));
+    for (const Way &way : ways()) {
+        if (std::string(way.name).find(only) != std::string::npos)
+            rows.emplace_back(way.name, playSeeds(spell, way, seeds));
+    }
     std::printf("%s, %llu seeds\n\n%s\n", name, static_cast<unsigned long long>(seeds),
                 foxwing::test::table(rows).c_str());
 }
@@ -93,8 +103,23 @@
 
 int main(int count, char **arguments)
 {
+    struct Spell
+    {
+        const char *name;
+        RigSettings (*settings)(std::uint64_t);
+    };
+    const std::vector<Spell> spells {
+        { "Busy spell", foxwing::test::busySpell },
+        { "A third cordoned", foxwing::test::cordonedThird },
+        { "Competing queues", foxwing::test::competingQueues },
+        { "Uneven endpoints", foxwing::test::unevenEndpoints },
+    };
     const std::uint64_t seeds = count > 1 ? std::strtoull(arguments[1], nullptr, 10) : 3;
-    printSpell("Busy spell", foxwing::test::busySpell, seeds);
-    printSpell("A third cordoned", foxwing::test::cordonedThird, seeds);
+    const std::string onlySpell = count > 2 ? arguments[2] : "";
+    const std::string onlyWay = count > 3 ? arguments[3] : "";
+    for (const Spell &spell : spells) {
+        if (std::string(spell.name).find(onlySpell) != std::string::npos)
+            printSpell(spell.name, spell.settings, seeds, onlyWay);
+    }
     return 0;
 }
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -197,6 +197,26 @@
     }
 }
 
+// Shares over all queues
+void sumUp(RigReport &report)
+{
+    constexpr Milliseconds AtOnce { 5 };
+    double asked = 0;
+    double served = 0;
+    double refused = 0;
+    double atOnce = 0;
+    for (const auto &[name, queue] : report.queues) {
+        asked += static_cast<double>(queue.asked);
+        served += static_cast<double>(queue.inAim + queue.late);
+        refused += static_cast<double>(queue.refused);
+        atOnce += static_cast<double>(
+                std::count_if(queue.refusedAfter.begin(), queue.refusedAfter.end(),
+                              [&](Microseconds after) { return after <= AtOnce; }));
+    }
+    report.servedPercent = 100 * served / std::max(1.0, asked);
+    report.refusedAtOncePercent = 100 * atOnce / std::max(1.0, refused);
+}
+
 // [SECTION] Events
 
 RigReport Rig::play()
@@ -238,6 +258,7 @@
     m_report.startsPerTask = static_cast<double>(starts)
             / static_cast<double>(std::max<std::uint64_t>(1, m_tasks));
     m_report.creditPercent = 100 * m_earned / std::max(1e-9, m_owed);
+    sumUp(m_report);
     m_report.idleWhileWaiting = 100 * m_idle / std::max(1e-9, m_room);
     return m_report;
 }
@@ -281,8 +302,11 @@
     const double width = std::round(load.width * logNormal(Spread));
     jobs::StepSpec step;
     step.tasks = std::clamp(static_cast<std::uint32_t>(std::max(1.0, width)), 1U, load.mostWidth);
-    step.room = { static_cast<std::int64_t>(1500 * logNormal(RoomSpread)), 64, 0 };
-    const double work = static_cast<double>(load.work.count()) * std::min(4.0, logNormal(Spread));
+    step.room = { static_cast<std::int64_t>(load.milliCores * logNormal(RoomSpread)), 64, 0 };
+    const bool tail = load.tailPart > 0
+            && std::uniform_real_distribution<double>(0, 1)(m_random) < load.tailPart;
+    const double work = static_cast<double>(load.work.count()) * std::min(4.0, logNormal(Spread))
+            * (tail ? load.tailFactor : 1);
     step.estimate = Milliseconds(std::max<std::int64_t>(1, std::lround(work * logNormal(Spread))));
     Microseconds longest { 0 };
     for (std::uint32_t i = 0; i < step.tasks; ++i) {
@@ -338,6 +362,8 @@
     terms.stretch = Stretch;
     terms.targetLatency = Latency;
     terms.beginBy = m_now + Milliseconds(1500);
+    if (m_settings.patience)
+        terms.patienceUntil = m_now + call.objective + *m_settings.patience;
     std::uint64_t number = 0;
     scheduler::SchedulerActions actions = scheduler::submit(m_entries[entry].state, call.spec,
                                                             terms, m_now, &number);
@@ -643,14 +669,16 @@
 
 std::string table(const std::vector<std::pair<std::string, RigReport>> &rows)
 {
-    std::string text = "| way | credit | starts a task | refused with room | idle while jobs wait |"
+    std::string text = "| way | credit | served | refused within 5 ms | starts a task | refused "
+                       "with room | idle while jobs wait |"
                        " by queue: in aim, of the largest tenth, late, refused, failed, refused"
-                       " after (median) |\n| --- | --- | --- | --- | --- | --- |\n";
+                       " after (median) |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n";
     char line[256];
     for (const auto &[name, report] : rows) {
-        std::snprintf(line, sizeof line, "| %s | %.2f %% | %.2f | %llu | %.1f %% |", name.c_str(),
-                      report.creditPercent, report.startsPerTask,
-                      static_cast<unsigned long long>(report.refusedWithRoom),
+        std::snprintf(line, sizeof line,
+                      "| %s | %.2f %% | %.2f %% | %.0f %% | %.2f | %llu | %.1f %% |", name.c_str(),
+                      report.creditPercent, report.servedPercent, report.refusedAtOncePercent,
+                      report.startsPerTask, static_cast<unsigned long long>(report.refusedWithRoom),
                       report.idleWhileWaiting);
         text += line;
         for (const auto &[queue, one] : report.queues) {
@@ -682,6 +710,48 @@
     return settings;
 }
 
+RigSettings competingQueues(std::uint64_t seed)
+{
+    RigSettings settings;
+    settings.seed = seed;
+    settings.entries = { 5, 3, 3 };
+    settings.agents = { 21, 21, 21 };
+    settings.callers = { 0.39, 0.34, 0.27 };
+    settings.speeds = { 1.0, 1.0, 1.3 };
+    settings.cores = { 32000, 32000, 48000 };
+    settings.queues = { { "short", 0, 3, 227, Milliseconds(60), 8, 32, 2.9, 3000 },
+                        { "middle", 1, 2, 660, Milliseconds(200), 2, 8, 1, 3000 },
+                        { "long", 2, 4, 41, Milliseconds(900), 4, 16, 16, 3000 } };
+    settings.patience = Milliseconds(2000);
+    settings.bursts = { { Milliseconds(1000), Milliseconds(7000), 2.1, "long" } };
+    settings.troubles = { { EndpointTrouble::Kind::Fails, Milliseconds(0), Milliseconds(6000), 12 },
+                          { EndpointTrouble::Kind::OutOfReach, Milliseconds(500),
+                            Milliseconds(6500), 25 } };
+    settings.length = Milliseconds(9000);
+    return settings;
+}
+
+RigSettings unevenEndpoints(std::uint64_t seed)
+{
+    RigSettings settings;
+    settings.seed = seed;
+    settings.entries = { 6, 5, 3 };
+    settings.agents = { 26, 25, 25 };
+    settings.callers = { 0.36, 0.30, 0.34 };
+    settings.speeds = { 0.6, 1.0, 1.6 };
+    settings.cores = { 32000, 32000, 48000 };
+    settings.queues = {
+        { "short", 0, 3, 200, Milliseconds(51), 8, 32, 2.9, 3600, 0.03, 7 },
+        { "middle", 1, 3, 580, Milliseconds(170), 2, 8, 1, 3600, 0.03, 7 },
+        { "long", 2, 4, 36, Milliseconds(760), 4, 16, 16, 3600, 0.03, 7 },
+    };
+    settings.patience = Milliseconds(2000);
+    settings.bursts = { { Milliseconds(1000), Milliseconds(5000), 1.5, "" } };
+    settings.troubles = { { EndpointTrouble::Kind::OutOfReach, Milliseconds(1000),
+                            Milliseconds(5000), 10 } };
+    return settings;
+}
+
 RigSettings cordonedThird(std::uint64_t seed)
 {
     RigSettings settings;
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -17,6 +17,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include <foxwing/runner/runner.h>
 #include <foxwing/scheduler/scheduler.h>
@@ -42,6 +43,13 @@
 
     // Credit of a job of mean size, for sums over queues
     double credit = 1;
+
+    // Thousandths of a core that a task takes, with a spread
+    double milliCores = 1500;
+
+    // Part of the jobs whose work is so many times as long, as their callers' guesses say too
+    double tailPart = 0;
+    double tailFactor = 1;
 };
 
 // More work than usual for a while.
@@ -100,6 +108,9 @@
     };
     Milliseconds length { 8000 };
 
+    // Callers wait so long beyond their job's objective, if they say so at all.
+    std::optional<Milliseconds> patience;
+
     // Between the entries' turns
     Milliseconds tick { 20 };
     std::vector<Burst> bursts;
@@ -136,6 +147,12 @@
     // Credit of jobs on time, of all that was asked, in percent
     double creditPercent = 0;
 
+    // Calls that were completed, late ones included, in percent
+    double servedPercent = 0;
+
+    // Refusals that came within 5 ms, in percent of all refusals
+    double refusedAtOncePercent = 0;
+
     // Starts that were ordered for each task, refused ones included
     double startsPerTask = 0;
 
@@ -156,6 +173,14 @@
 // A third of the endpoints is cordoned for 4 s, at the usual load.
 RigSettings cordonedThird(std::uint64_t seed);
 
+// Queues of three priorities compete: twice the usual jobs of the least urgent one for 6 s, while a
+// quarter of the endpoints is out of reach.
+RigSettings competingQueues(std::uint64_t seed);
+
+// Endpoints whose speeds differ by 2.7, jobs of which 3 in 100 take seven times as long, and half
+// as much again of everything for 4 s.
+RigSettings unevenEndpoints(std::uint64_t seed);
+
 // A table of the reports, a row each.
 std::string table(const std::vector<std::pair<std::string, RigReport>> &rows);
 
