--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -40,8 +40,8 @@
 constexpr Milliseconds ElectionSpan { 400 };
 constexpr Milliseconds HeartbeatInterval { 80 };
 
-// The first election after a start: hosts of one region find each other within 10 ms. With 100 ms,
-// calls that came in the 0.16 to 0.22 s after a restart of everything found no catalog.
+// The first election after a start. Hosts of one region find each other within 10 ms, and until
+// there is a leader no entry has a catalog.
 constexpr Milliseconds FirstElectionSpan { 20 };
 
 // The members of the group are looked over this often.
--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -61,8 +61,8 @@
     Milliseconds idleWait { 200 };
 
     // A start without an answer is ordered again, under the same number, until it is this old; then
-    // the run is stopped. With half of all orders lost, six tries of 25 ms each leave 2 of 100
-    // starts to be stopped.
+    // the run is stopped. Some tries of 25 ms each, so that few are stopped even where half of all
+    // orders get lost.
     Milliseconds startGivenUp { 150 };
 
     // While a look has failed within this span, others wait at the endpoint for no longer than
@@ -85,16 +85,13 @@
     // When a run can't be stopped for this long, the lease of the whole endpoint is left to end.
     Milliseconds stopGivenUp { 350 };
 
-    // Entries learn of changed room at least this often, if they are not told at once. With 100 ms
-    // room stood idle while other entries had jobs waiting. With 10 ms the credit that jobs earn by
-    // their priority and time rose from 0.827 to 0.832 of all (mean of six busy spells with faults,
-    // one play each), and an entry's processor share from 0.0046 to 0.0065.
+    // Entries with work waiting learn of changed room at least this often, if they are not told at
+    // once: well under the time of the shortest tasks, so that room does not stand idle.
     Milliseconds roomInterval { 10 };
 
     // The same for entries where nothing waits for room, and the longest time until a beat is
-    // answered: a quarter of the silence after which an entry gives an agent up. With news every
-    // 30 ms for each of 15 entries, 100 hosts took 112 core-seconds in 34 busy seconds, with this
-    // and less looking through what waits 92, and as many jobs were on time.
+    // answered: a quarter of the silence after which an entry gives an agent up, and seldom enough
+    // that news to entries with nothing to place costs little.
     Milliseconds calmInterval { 100 };
 
     // A run is judged once it ran for this long: twice the time in which an answer can be late on
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -93,9 +93,7 @@
 
     // Work in another data centre counts as so much slower, in percent of a task that takes what
     // its caller guessed: above what a full endpoint at home costs, so work leaves home only where
-    // home is full, slow or gone. Payloads and ends that cross between data centres fell from 0.35
-    // to 0.13 GB in 34 s of 80 endpoints, and jobs served rose from 97.0 to 97.2 of 100 (eight
-    // busy days each).
+    // home is full, slow or gone, and fewer payloads cross between data centres.
     std::uint32_t awayPercent = 30;
 
     // Work away from the rack of its data takes so many times as long.
@@ -114,8 +112,7 @@
 
     // An agent that was not heard for this long takes work only if no other has room: twice the
     // time between its answers to beats, and some for a turn of the loop. It may be cut off, and
-    // its tasks would stay uncertain for certainSilence. Work thrown away fell from 37.6 to 34.6
-    // core-seconds, and 97.41 of 100 jobs were served in place of 97.35 (eight busy days each).
+    // its tasks would stay uncertain for certainSilence.
     Milliseconds quietAfter { 220 };
 
     // After the last word to a lost agent, its runs are certainly over: it stops them when it does
@@ -127,15 +124,13 @@
     std::size_t mostPassedOver = 16;
 
     // A job counts as one that can be on time until its latest begin less this part of its
-    // expected time, in percent. Expectations are off by 36 percent (standard deviation over the
-    // jobs of one busy spell); of 20, 35 and 50, 50 had the most jobs on time (six such spells).
+    // expected time, in percent: expectations are off by a third, and what is placed at the last
+    // moment is late as often as not.
     std::uint32_t marginPercent = 50;
 
     // Where no endpoint has room, a start of the most urgent queue may wait at an agent whose room
     // falls short by no more than this part of its endpoint's, in percent; zero: starts go only
-    // where room is known. Without it, freed room goes to the entry that learns of it first: of the
-    // widest and most urgent jobs on days with more work than room, 6 percent were refused and 6
-    // late; with it, 2 and 5 percent (two bursts with endpoints cut off, one play each).
+    // where room is known, and freed room goes to the entry that learns of it first.
     std::int64_t waitPercent = 15;
 
     WaitingQueues waitingQueues = WaitingQueues::MostUrgent;
@@ -164,9 +159,8 @@
 
     // One that would wait longer than this part of the time until it counts as late, in percent, at
     // the pace at which room came free of late, is refused at once too; zero: it waits until it is
-    // late. With 100, 35 to 40 of 100 refusals came within 5 ms, but a tenth of them would have
-    // been served; with 200, 9 to 14 of 100 came at once and as many jobs were on time as with none
-    // (two bursts with endpoints cut off, one play each).
+    // late. Twice that time: at the pace of this entry alone, closer refusals turn away what would
+    // have been served.
     std::uint32_t refuseAtArrivalPercent = 200;
 
     // Ends of runs count for the room that comes free for about this long: some turns of the
@@ -174,8 +168,7 @@
     Milliseconds freedSpan { 300 };
 
     // A job that has not begun when it counts as late is refused. What is late takes the room of
-    // what is not: without this, a day with a tenth more work than room served 0.84 of its worth
-    // in place of 0.90.
+    // what is not.
     bool refuseLate = true;
 
     // Work is expected to take what the queue's jobs showed, not what the caller guesses.
