Control host: connections from nodes get a file of their own

Change: NodeLinks (nodelinks.h) holds the connections from nodes, the directory and what each was told; the shell keeps the group. No behaviour is changed. Ruled out: moving the links between control hosts too, which the group needs. Tests: fleet, fleet_schedules, settings, directory, replica, operators, soak green.

--- a/packages/fleet/src/controlshell.cpp
+++ b/packages/fleet/src/controlshell.cpp
@@ -16,6 +16,7 @@
 
 #include "core.h"
 #include "identity.h"
+#include "nodelinks.h"
 #include "operatorshell.h"
 
 namespace foxwing::fleet {
@@ -28,7 +29,6 @@
 namespace {
 
 constexpr Milliseconds NodeBeatInterval { 500 };
-constexpr Milliseconds NodeSilence { 2500 };
 
 // A host that heard its leader this recently knows what is agreed, but for the last heartbeats.
 // With the time after which a cut-off leader steps down it stays well under the 2 s within which a
@@ -65,21 +65,6 @@
     return member.substr(0, member.find('/'));
 }
 
-struct InnerPeer
-{
-    std::shared_ptr<fabric::Link> link;
-    directory::NodeInfo node;
-    bool announced = false;
-    Time heardAt {};
-    std::uint64_t toldRevision = 0;
-
-    // What is agreed as it was sent there: whether at all, version of the catalog, revision of the
-    // cordons
-    bool toldAgreed = false;
-    std::uint64_t toldCatalog = 0;
-    std::uint64_t toldCordons = 0;
-};
-
 // Another control host that this one dials.
 struct GroupPeer
 {
@@ -93,6 +78,7 @@
 public:
     ControlShell(Core &core, const Dialect &dialect)
         : m_core(core)
+        , m_nodes(core, nodeEvents())
         , m_operators(core, dialect, operatorLinks())
     { }
 
@@ -105,12 +91,11 @@
 
 private:
     // Nodes
-    void nodeConnected(const std::shared_ptr<fabric::Link> &link);
-    void nodeReceived(std::uint64_t connection, std::string_view bytes);
-    void tellDirectory();
+    NodeEvents nodeEvents();
+    void nodeReceived(std::uint64_t connection, const Frame &frame);
     void tellAgreed();
     bool isCurrent(Time now) const;
-    void beatNodes(Time now);
+    void beatAll(Time now);
 
     // Group
     bool startReplica(Error *reason);
@@ -134,9 +119,7 @@
     std::unique_ptr<fabric::HttpServer> m_server;
     std::unique_ptr<replica::Replica> m_replica;
     catalog::AgreedState m_agreed;
-    directory::DirectoryState m_directory;
-    std::map<std::uint64_t, InnerPeer> m_nodes;
-    std::uint64_t m_lastConnection = 0;
+    NodeLinks m_nodes;
     std::map<std::string, GroupPeer> m_controls;
     OperatorShell m_operators;
     bool m_tellPosted = false;
@@ -161,7 +144,7 @@
     if (!startReplica(reason))
         return false;
     m_listener = listenInside(
-            m_core, [this](const std::shared_ptr<fabric::Link> &link) { nodeConnected(link); },
+            m_core, [this](const std::shared_ptr<fabric::Link> &link) { m_nodes.connected(link); },
             reason);
     m_server = serveHttp(
             m_core, m_core.settings.control,
@@ -183,72 +166,32 @@
 
 // [SECTION] Nodes
 
-void ControlShell::nodeConnected(const std::shared_ptr<fabric::Link> &link)
+NodeEvents ControlShell::nodeEvents()
 {
-    const std::uint64_t connection = ++m_lastConnection;
-    InnerPeer &peer = m_nodes[connection];
-    peer.link = link;
-    peer.heardAt = steadyNow();
-    link->start([this, connection](std::string_view bytes) { nodeReceived(connection, bytes); },
-                [this, connection] {
-                    const InnerPeer gone = m_nodes.at(connection);
-                    m_nodes.erase(connection);
-                    directory::connectionLost(m_directory, connection, steadyNow());
-                    if (gone.announced)
-                        writeEvent(m_core.log,
-                                   change("node-lost")
-                                           .with("name", gone.node.name)
-                                           .with("role", toString(gone.node.role))
-                                           .with("heard_ms_ago", steadyNow() - gone.heardAt));
-                });
+    NodeEvents events;
+    events.announced = [this](const directory::NodeInfo &node) {
+        if (node.role == directory::Role::Control)
+            controlIsThere(node.address);
+        tellAgreed();
+    };
+    events.received = [this](std::uint64_t connection, const Frame &frame) {
+        nodeReceived(connection, frame);
+    };
+    return events;
 }
 
-void ControlShell::nodeReceived(std::uint64_t connection, std::string_view bytes)
+void ControlShell::nodeReceived(std::uint64_t connection, const Frame &frame)
 {
-    InnerPeer &peer = m_nodes.at(connection);
-    peer.heardAt = steadyNow();
-    auto frame = readFrame(m_core, peer.link->remote(), bytes);
-    if (!frame)
-        return;
-    if (const auto *announce = std::get_if<directory::Announce>(&*frame)) {
-        peer.node = announce->node;
-        peer.announced = true;
-        directory::nodeAnnounced(m_directory, connection, peer.node);
-        writeEvent(m_core.log,
-                   change("node-announced")
-                           .with("name", peer.node.name)
-                           .with("role", toString(peer.node.role))
-                           .with("address", peer.node.address));
-        if (peer.node.role == directory::Role::Control)
-            controlIsThere(peer.node.address);
-        tellAgreed();
-    } else if (const auto *group = std::get_if<GroupFrame>(&*frame)) {
+    if (const auto *group = std::get_if<GroupFrame>(&frame)) {
         Error reason;
         const auto message = decodeFrame<quorum::QuorumMessage>(group->bytes, &reason);
         if (message && group->to == m_core.self.groupId)
             m_replica->receive(*message);
-    } else if (const auto *forward = std::get_if<ForwardCall>(&*frame)) {
+    } else if (const auto *forward = std::get_if<ForwardCall>(&frame)) {
         m_operators.handedOver(connection, *forward);
     }
 }
 
-void ControlShell::tellDirectory()
-{
-    // Most are told the same, having been told last at the same time.
-    std::map<std::pair<directory::Role, std::uint64_t>, std::string> frames;
-    for (auto &[connection, peer] : m_nodes) {
-        const directory::Role role = peer.node.role;
-        const std::uint64_t told = peer.toldRevision;
-        if (!peer.announced || told >= directory::revisionFor(m_directory, role))
-            continue;
-        peer.toldRevision = m_directory.revision;
-        std::string &frame = frames[{ role, told }];
-        if (frame.empty())
-            frame = encodeFrame(Frame(directory::updateFor(m_directory, role, told)));
-        peer.link->send(frame);
-    }
-}
-
 // Whether what is agreed here is at most a moment old. A host that was cut off, or has just begun,
 // must not hand an old catalog to a process that has none.
 bool ControlShell::isCurrent(Time now) const
@@ -259,51 +202,20 @@
                 && now < group.leaderHeardAt + CurrentSpan);
 }
 
-// Whether the node has not been told what it needs of the state.
-bool needsTelling(const InnerPeer &peer, const catalog::AgreedState &agreed)
-{
-    if (!peer.announced || peer.node.role == directory::Role::Control)
-        return false;
-    const bool newCatalog = peer.node.role == directory::Role::Entry
-            && peer.toldCatalog < agreed.declared.catalog.version;
-    return !peer.toldAgreed || newCatalog || peer.toldCordons < agreed.cordons.revision;
-}
-
-// Also when nothing was declared yet: agents start nothing before they know the cordons.
 void ControlShell::tellAgreed()
 {
-    if (!isCurrent(steadyNow()))
-        return;
-    std::map<directory::Role, std::string> frames;
-    for (auto &[connection, peer] : m_nodes) {
-        if (!needsTelling(peer, m_agreed))
-            continue;
-        std::string &frame = frames[peer.node.role];
-        if (frame.empty()) {
-            const bool isEntry = peer.node.role == directory::Role::Entry;
-            frame = encodeFrame(Frame(AgreedPush {
-                    isEntry ? m_agreed.declared.catalog : catalog::Catalog {}, m_agreed.cordons }));
-        }
-        peer.toldAgreed = true;
-        peer.toldCatalog = m_agreed.declared.catalog.version;
-        peer.toldCordons = m_agreed.cordons.revision;
-        peer.link->send(frame);
-    }
+    if (isCurrent(steadyNow()))
+        m_nodes.tellAgreed(m_agreed);
 }
 
-void ControlShell::beatNodes(Time now)
+void ControlShell::beatAll(Time now)
 {
     if (now < m_nextBeat)
         return;
     m_nextBeat = now + NodeBeatInterval;
     const std::string beat = encodeFrame(Frame(directory::NodeBeat {}));
+    m_nodes.beat(beat, now);
     std::vector<std::shared_ptr<fabric::Link>> silent;
-    for (auto &[connection, peer] : m_nodes) {
-        if (now >= peer.heardAt + NodeSilence)
-            silent.push_back(peer.link);
-        else
-            peer.link->send(beat);
-    }
     for (auto &[address, peer] : m_controls) {
         if (peer.link && now >= peer.heardAt + NodeSilence)
             silent.push_back(peer.link);
@@ -501,7 +413,7 @@
         return;
     m_nextMembers = now + MembersInterval;
     std::vector<quorum::Candidate> candidates;
-    for (const directory::NodeInfo &node : directory::connectedControls(m_directory))
+    for (const directory::NodeInfo &node : directory::connectedControls(m_nodes.directory()))
         candidates.push_back({ node.groupId, node.address });
     const auto members = quorum::adviseMembers(m_replica->state(), candidates, now);
     if (!members)
@@ -559,9 +471,7 @@
     links.requestRead = [this](std::uint64_t call) { m_replica->requestRead(call); };
     links.sendToLeader = [this](const Frame &frame) { sendToLeader(frame); };
     links.sendToNode = [this](std::uint64_t connection, const Frame &frame) {
-        const auto node = m_nodes.find(connection);
-        if (node != m_nodes.end())
-            node->second.link->send(encodeFrame(frame));
+        m_nodes.send(connection, frame);
     };
     return links;
 }
@@ -572,10 +482,9 @@
 {
     reopenJournal(now);
     m_replica->tick();
-    directory::tick(m_directory, now);
-    tellDirectory();
+    m_nodes.tellDirectory(now);
     tellAgreed();
-    beatNodes(now);
+    beatAll(now);
     watchMembers(now);
     m_operators.tick(now);
 }
@@ -596,7 +505,7 @@
     gauge("foxwing_group_commit", "Entries committed", group.commit);
     gauge("foxwing_group_voters", "Voters", group.members.voters.size());
     gauge("foxwing_group_leads", "Whether this host leads", quorum::leads(group) ? 1 : 0);
-    gauge("foxwing_nodes", "Nodes in touch", m_nodes.size());
+    gauge("foxwing_nodes", "Nodes in touch", m_nodes.count());
     return samples;
 }
 
