A job that goes before the older one of its id leaves the id to that one

Cause: removeIfFinished erased byId[id] with the newest job of an id, also where an older job of that id still had runs that were being stopped (the newest waited for it, and was abandoned or refused before it began). The ends of the older job's runs were not found any more, its `outstanding` never fell (the job stayed in the table), and a third job of the id was begun at once beside those runs. Found by reading.

Change: the id goes back to the job that the removed one waited for, and whoever waited for the removed one waits for that.

Red before: `Chains...OneBetween` and `ThreeBetween` (a start beside the run, 2 of 120 tests failed); green after: 120 of 120. `NoneBetween` was green before.

Ruled out: keeping the newest in the table until the older is gone; it would hold a job that nobody waits for.

--- a/packages/scheduler/src/ending.cpp
+++ b/packages/scheduler/src/ending.cpp
@@ -150,13 +150,18 @@
     const std::string id = found->second.spec.id;
     const auto newest = scheduler.byId.find(id);
     const bool isNewest = newest != scheduler.byId.end() && newest->second == number;
+    // A job that never began may go before the one that it waited for: whoever comes next under the
+    // id waits for that one, or two jobs of the id would run at once.
+    const std::uint64_t older = found->second.waitsFor;
     scheduler.jobs.erase(found);
-    if (isNewest)
+    if (isNewest && older != 0)
+        newest->second = older;
+    else if (isNewest)
         scheduler.byId.erase(newest);
     for (auto &[other, job] : scheduler.jobs) {
         if (job.waitsFor != number)
             continue;
-        job.waitsFor = 0;
+        job.waitsFor = older;
         enqueue(scheduler, job);
     }
 }
--- a/packages/scheduler/tests/admission_test.cpp
+++ b/packages/scheduler/tests/admission_test.cpp
@@ -143,6 +143,48 @@
     EXPECT_EQ(startsIn(bench.report("agent-0", { endOf("job", 0, 1, RunEnd::Stopped) })), 1U);
 }
 
+// A chain of jobs of one id: the first is abandoned with its run on, each of the others goes before
+// that run is over.
+struct ChainCase
+{
+    const char *name;
+
+    // Callers that come and go while the first job's run is on
+    int gone;
+};
+
+std::ostream &operator<<(std::ostream &out, const ChainCase &tested)
+{
+    return out << tested.name;
+}
+
+class Chains : public testing::TestWithParam<ChainCase>
+{ };
+
+TEST_P(Chains, OfOneIdBeginOnlyAfterTheFirstOnesRuns)
+{
+    Bench bench({ 4000 });
+    bench.submit("job", 1);
+    abandon(bench.scheduler, bench.number, bench.now);
+    for (int i = 0; i < GetParam().gone; ++i) {
+        EXPECT_EQ(startsIn(bench.submit("job", 1)), 0U);
+        abandon(bench.scheduler, bench.number, bench.now);
+    }
+    EXPECT_EQ(startsIn(bench.submit("job", 1)), 0U);
+    EXPECT_EQ(startsIn(bench.pass(Milliseconds(20))), 0U);
+    const SchedulerActions ended = bench.report("agent-0", { endOf("job", 0, 1, RunEnd::Stopped) });
+    EXPECT_EQ(startsIn(ended), 1U);
+    bench.report("agent-0", { endOf("job", 0, 1, RunEnd::Done) });
+    EXPECT_TRUE(bench.scheduler.jobs.empty());
+    EXPECT_TRUE(bench.scheduler.byId.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Scheduler, Chains,
+                         testing::Values(ChainCase { "NoneBetween", 0 },
+                                         ChainCase { "OneBetween", 1 },
+                                         ChainCase { "ThreeBetween", 3 }),
+                         [](const auto &tested) { return tested.param.name; });
+
 // A job of one task of 100 ms under these terms.
 SchedulerActions submitOne(Bench &bench, const JobTerms &terms)
 {
