Nothing of a job is placed once its caller's patience is over

Cause: a job whose caller's patience was over was given up at the next tick only. An event that freed room before that tick, or while ticks waited behind other work of the loop, still started its tasks, though the caller may send the job to another entry from then on. Found by reading.

Change: such jobs are passed over when work is placed; the tick gives them up as before.

Ruled out: giving the job up in the placing itself; an answer would then come out of the middle of a round over the waiting jobs.

--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -31,6 +31,10 @@
 void beatAgent(const SchedulerState &scheduler, const std::string &name, Agent &agent, Time now,
                SchedulerActions &actions);
 
+// Whether its caller's patience is over: nothing more of it is placed, since the caller may send it
+// elsewhere. The next tick gives it up.
+bool isUnwanted(const Job &job, Time now);
+
 // Nothing of the job has begun; a start that is under way may begin.
 bool certainlyNotBegun(const Job &job);
 
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -177,6 +177,11 @@
 
 // [SECTION] Placing
 
+bool isUnwanted(const Job &job, Time now)
+{
+    return job.terms.patienceUntil && now >= *job.terms.patienceUntil;
+}
+
 namespace {
 
 bool stepIsReady(const Job &job, std::uint32_t step)
@@ -289,7 +294,7 @@
         if (passedOver >= scheduler.settings.mostPassedOver)
             break;
         Job &job = scheduler.jobs.at(key.number);
-        if (!hasReadyTask(job))
+        if (isUnwanted(job, now) || !hasReadyTask(job))
             continue;
         dequeue(scheduler, job);
         if (!placeJob(scheduler, agents, job, now, actions))
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -329,8 +329,7 @@
         const bool hopeless = certainlyNotBegun(job) && now > worth;
         const bool unbegun = certainlyNotBegun(job) && now >= job.terms.beginBy;
         const bool endless = now >= job.arrivedAt + scheduler.settings.longestJob;
-        const bool unwanted = job.terms.patienceUntil && now >= *job.terms.patienceUntil;
-        if (!job.over && (unbegun || endless || unwanted || hopeless))
+        if (!job.over && (unbegun || endless || isUnwanted(job, now) || hopeless))
             over.push_back(number);
     }
     for (const std::uint64_t number : over) {
--- a/packages/scheduler/tests/admission_test.cpp
+++ b/packages/scheduler/tests/admission_test.cpp
@@ -199,6 +199,40 @@
     return submit(bench.scheduler, spec, terms, bench.now, &bench.number);
 }
 
+// Room that comes free before the next tick, for a job that waits and whose caller waits for 100
+// ms.
+struct PatienceCase
+{
+    const char *name;
+    Milliseconds after;
+    std::size_t starts;
+};
+
+std::ostream &operator<<(std::ostream &out, const PatienceCase &tested)
+{
+    return out << tested.name;
+}
+
+class Patience : public testing::TestWithParam<PatienceCase>
+{ };
+
+TEST_P(Patience, EndsTheTimeInWhichAJobIsPlaced)
+{
+    Bench bench({ 1000 });
+    bench.submit("first", 1);
+    JobTerms terms = bench.terms();
+    terms.patienceUntil = bench.now + Milliseconds(100);
+    EXPECT_EQ(startsIn(submitOne(bench, terms)), 0U);
+    bench.now += GetParam().after;
+    const SchedulerActions freed = bench.report("agent-0", { endOf("first", 0, 1, RunEnd::Done) });
+    EXPECT_EQ(startsIn(freed), GetParam().starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(Scheduler, Patience,
+                         testing::Values(PatienceCase { "InTime", Milliseconds(99), 1 },
+                                         PatienceCase { "Over", Milliseconds(100), 0 }),
+                         [](const auto &tested) { return tested.param.name; });
+
 // Calls that came while an entry did not know its queues yet. A job of 100 ms work has to begin
 // within 120 ms of its call.
 struct HeldCase
