After a loss of sessions an entry looks whether its callers are there

Until then the job counted as wanted: it was placed, the first time or again, when a session came back, while the caller's next try began elsewhere.

A call whose caller is gone when it is read is not taken in at all. `caller-found-gone`, foxwing_callers_found_gone_total. The decision is scheduler/callerwatch.h, without clock or socket.

Schedules: `AllReset` (callers lose their entries without a sign to these, all connections are reset just before they send again, entries read ends up to 1 s late or never, sessions come back over 0.3 s) and `CallsHeldUp` (calls come after they were given up).

Ruled out: a look for every job at every placing (cost grows with waiting jobs times news); giving all jobs up when the loop is behind (an overload would refuse what it can serve); a refusal of whatever waited longer than the resend time (does not hold for work that has begun, and refuses long jobs that could be on time).

--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 
 #include <foxwing/fabric/httpserver.h>
+#include <foxwing/scheduler/callerwatch.h>
 
 #include "agentlinks.h"
 #include "core.h"
@@ -69,6 +70,11 @@
                 const catalog::QueueDeclaration &queue, std::optional<Time> heldSince);
     void refuse(const ExchangePtr &exchange, CallerRefusal refusal, const std::string &reason);
     void callerGone(std::uint64_t number, const ExchangePtr &exchange);
+
+    // Before what may place work: jobs whose callers are gone, though that was not read yet, are
+    // abandoned.
+    void seeCallers(Time now);
+    void seeCallersOf(std::uint64_t number);
     bool ready() const;
 
     // Agents
@@ -108,6 +114,10 @@
     Time m_stopBegan {};
     std::uint64_t m_notFound = 0;
     std::uint64_t m_badRequests = 0;
+    scheduler::CallerWatch m_callerWatch;
+
+    // Callers that were found gone by a look
+    std::uint64_t m_callersFoundGone = 0;
     ControlLinks m_control;
 };
 
@@ -118,6 +128,10 @@
             [this](const ExchangePtr &exchange) { handleCaller(exchange); }, reason);
     if (!m_callers)
         return false;
+    // Until a caller that lost its entry has sent again, and lost runs are certainly over
+    m_callerWatch.settings.watchFor = std::max(m_callerWatch.settings.watchFor,
+                                               m_core.settings.resendAfter
+                                                       + m_core.settings.scheduler.certainSilence);
     m_lastTurn = steadyNow();
     m_held.startedAt = m_lastTurn;
     if (m_core.settings.readiness.empty())
@@ -218,7 +232,14 @@
         ++m_badRequests;
         return refuse(exchange, CallerRefusal::BadRequest, reason.message);
     }
+    // What was held up on its way may have been given up meanwhile, and be sent again.
+    if (!exchange->callerIsThere()) {
+        ++m_callersFoundGone;
+        writeEvent(m_core.log, Event("caller-found-gone").with("request", spec->id));
+        return;
+    }
     const Time now = steadyNow();
+    seeCallers(now);
     scheduler::JobTerms terms;
     terms.queue = queue.name;
     terms.service = queue.service;
@@ -261,6 +282,28 @@
     carryOut(scheduler::abandon(m_scheduler, number, steadyNow()));
 }
 
+void EntryShell::seeCallers(Time now)
+{
+    for (const std::uint64_t number : scheduler::callersToSee(m_callerWatch, m_scheduler, now))
+        seeCallersOf(number);
+}
+
+void EntryShell::seeCallersOf(std::uint64_t number)
+{
+    const auto found = m_waiting.find(number);
+    if (found == m_waiting.end())
+        return;
+    const std::vector<ExchangePtr> waiting = found->second;
+    for (const ExchangePtr &exchange : waiting) {
+        if (exchange->callerIsThere())
+            continue;
+        ++m_callersFoundGone;
+        writeEvent(m_core.log,
+                   Event("caller-found-gone").with("request", m_scheduler.jobs.at(number).spec.id));
+        callerGone(number, exchange);
+    }
+}
+
 void EntryShell::answer(const scheduler::JobAnswer &answer)
 {
     const auto found = m_waiting.find(answer.number);
@@ -299,7 +342,9 @@
         agentReceived(address, bytes);
     };
     events.lost = [this](const std::string &address) {
-        carryOut(scheduler::agentLost(m_scheduler, address, steadyNow()));
+        const Time now = steadyNow();
+        scheduler::noteSessionLost(m_callerWatch, now);
+        carryOut(scheduler::agentLost(m_scheduler, address, now));
     };
     events.release = [this](const std::string &address) {
         return scheduler::releaseAgent(m_scheduler, address);
@@ -323,6 +368,7 @@
     const auto frame = readFrame(m_core, address, bytes);
     if (!frame)
         return;
+    seeCallers(now);
     if (const auto *update = std::get_if<jobs::AgentUpdate>(&*frame))
         carryOut(scheduler::agentUpdated(m_scheduler, address, *update, now));
     else if (const auto *welcome = std::get_if<jobs::Welcome>(&*frame))
@@ -370,6 +416,7 @@
     const Time now = steadyNow();
     m_agents.takeCordons(cordons);
     keepAgents(now);
+    seeCallers(now);
     carryOut(scheduler::takeCordons(m_scheduler, cordons, now));
 }
 
@@ -416,6 +463,7 @@
     refuseHeld(now);
     m_control.tick(now);
     keepAgents(now);
+    seeCallers(now);
     carryOut(scheduler::tick(m_scheduler, now));
 }
 
@@ -469,6 +517,8 @@
           count(counters.runsCrashed) },
         { "foxwing_jobs_crashing_total", "Jobs given up since endpoints crashed under them",
           count(counters.crashingJobs) },
+        { "foxwing_callers_found_gone_total",
+          "Callers found gone by a look before their jobs were placed", count(m_callersFoundGone) },
         { "foxwing_endpoints_tried_total", "Endpoints looked at to place tasks",
           count(counters.endpointsTried) },
         { "foxwing_not_found_total", "Calls without a queue", count(m_notFound) },
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -183,6 +183,10 @@
                             { Fault::CallerCancels, Fault::EndpointCrash },
                             90 },
                 FaultCase { "CancelAndAll", allFaultsAndCancels(), 83 },
+                FaultCase { "AllReset", { Fault::AllReset }, 89 },
+                FaultCase { "AllResetAndWaiting", { Fault::AllReset }, 88, 2 },
+                FaultCase { "CallsHeldUp", { Fault::CallsHeldUp }, 65 },
+                FaultCase { "CallsHeldUpAndAllReset", { Fault::CallsHeldUp, Fault::AllReset }, 50 },
                 FaultCase { "Cordon", { Fault::Cordon }, 77 },
                 FaultCase { "CordonAndAgentKill", { Fault::Cordon, Fault::AgentKill }, 78 },
                 FaultCase { "CordonAndEntryKill", { Fault::Cordon, Fault::EntryKill }, 84 },
@@ -243,6 +247,14 @@
                 GuardCase { "OwnerSilence",
                             [](WorldSettings &s) { s.runner.ownerSilence = std::chrono::hours(1); },
                             { Fault::EntryKill } },
+                // An entry that has not read that its callers are gone places their jobs again.
+                GuardCase { "CallersSeen",
+                            [](WorldSettings &s) { s.callersNotSeen = true; },
+                            { Fault::AllReset } },
+                // The same with calls that came after they had been given up
+                GuardCase { "CallersSeenAtArrival",
+                            [](WorldSettings &s) { s.callersNotSeen = true; },
+                            { Fault::CallsHeldUp } },
                 // A lost agent's runs are started again before it has stopped them.
                 GuardCase { "CertainSilence",
                             [](WorldSettings &s) { s.scheduler.certainSilence = Milliseconds(50); },
--- a/tests/fleet/world.cpp
+++ b/tests/fleet/world.cpp
@@ -127,25 +127,47 @@
         });
     m_calls[call] = { spec, chosen, m_now > firstSent };
     ++m_callers[spec.id];
-    on(entry, LinkDelay, [this, call, chosen] {
-        Entry &taker = *m_entries[static_cast<std::size_t>(chosen)];
-        scheduler::JobTerms terms;
-        // By the job's number, so that it stays the same when it is sent again
-        const std::string &id = m_calls.at(call).spec.id;
-        terms.priority = static_cast<std::uint32_t>(std::stoul(id.substr(id.find('-') + 1)))
-                % m_settings.priorities;
-        terms.queue = "queue-" + std::to_string(terms.priority);
-        terms.service = "service";
-        terms.attempts = 3;
-        terms.stretch = 1.6;
-        terms.targetLatency = Milliseconds(60);
-        terms.beginBy = clockOf(taker) + Milliseconds(1500);
-        std::uint64_t number = 0;
-        const auto actions = scheduler::submit(taker.state, m_calls.at(call).spec, terms,
-                                               clockOf(taker), &number);
-        taker.calls[number] = call;
-        carryOut(chosen, actions);
+    on(entry, wayOfCall(call, chosen), [this, call, chosen, spec] { takeIn(chosen, call, spec); });
+}
+
+// How long the call is on its way. One that is held up is given up by its caller before it comes,
+// and the end of its connection comes with it.
+Milliseconds World::wayOfCall(std::uint64_t call, int entry)
+{
+    if (m_now >= m_callsHeldUntil)
+        return LinkDelay;
+    at(m_now + HeldCallGivenUp, [this, call, entry] {
+        m_entries[static_cast<std::size_t>(entry)]->endsUnread.insert(call);
+        callerLost(call);
     });
+    std::uniform_int_distribution<std::int64_t> way(HeldCallGivenUp.count() + 1,
+                                                    LongestHeldCall.count());
+    return Milliseconds(way(m_random));
+}
+
+void World::takeIn(int number, std::uint64_t call, const jobs::JobSpec &spec)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    const bool gone = entry.endsUnread.count(call) != 0;
+    if (gone && !m_settings.callersNotSeen)
+        return;
+    seeCallers(number);
+    scheduler::JobTerms terms;
+    // By the job's number, so that it stays the same when it is sent again
+    terms.priority = static_cast<std::uint32_t>(std::stoul(spec.id.substr(spec.id.find('-') + 1)))
+            % m_settings.priorities;
+    terms.queue = "queue-" + std::to_string(terms.priority);
+    terms.service = "service";
+    terms.attempts = 3;
+    terms.stretch = 1.6;
+    terms.targetLatency = Milliseconds(60);
+    terms.beginBy = clockOf(entry) + Milliseconds(1500);
+    std::uint64_t job = 0;
+    const auto actions = scheduler::submit(entry.state, spec, terms, clockOf(entry), &job);
+    entry.calls[job] = call;
+    if (gone)
+        readEndLater(number, job, call);
+    carryOut(number, actions);
 }
 
 void World::callerLost(std::uint64_t call)
@@ -211,6 +233,8 @@
         entry.state = scheduler::makeScheduler(settings);
         entry.state.entries = static_cast<std::uint32_t>(m_settings.entries);
         entry.calls.clear();
+        entry.endsUnread.clear();
+        entry.watch = {};
         entry.knowsCordons = false;
         tellEntry(number);
         for (Session &session : entry.sessions)
@@ -231,6 +255,7 @@
     entry.lastTurn = clockOf(entry);
     for (int agent = 0; agent < m_settings.agents; ++agent)
         connect(number, agent);
+    seeCallers(number);
     carryOut(number, scheduler::tick(entry.state, clockOf(entry)));
     on(entry, TickInterval, [this, number] { tickEntry(number); });
 }
@@ -246,7 +271,7 @@
     Entry &entry = *m_entries[static_cast<std::size_t>(number)];
     Agent &agent = *m_agents[static_cast<std::size_t>(agentNumber)];
     Session &session = entry.sessions[static_cast<std::size_t>(agentNumber)];
-    if (session.open || !pathOpen(number, agentNumber))
+    if (session.open || m_now < session.backAt || !pathOpen(number, agentNumber))
         return;
     session.open = true;
     session.number = ++m_lastSession;
@@ -276,6 +301,7 @@
     if (entry.up)
         on(entry, Milliseconds(0), [this, number, agentNumber] {
             Entry &told = *m_entries[static_cast<std::size_t>(number)];
+            scheduler::noteSessionLost(told.watch, clockOf(told));
             carryOut(number,
                      scheduler::agentLost(told.state, nameOf("agent", agentNumber), clockOf(told)));
         });
@@ -470,8 +496,10 @@
             on(entry, LinkDelay, [this, i, number, session, message, handle] {
                 Entry &to = *m_entries[static_cast<std::size_t>(i)];
                 const Session &now = to.sessions[static_cast<std::size_t>(number)];
-                if (now.open && now.number == session)
-                    carryOut(i, handle(to.state, nameOf("agent", number), message, clockOf(to)));
+                if (!now.open || now.number != session)
+                    return;
+                seeCallers(i);
+                carryOut(i, handle(to.state, nameOf("agent", number), message, clockOf(to)));
             });
         }
     };
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -16,7 +16,7 @@
 #include <random>
 #include <set>
 
-#include <foxwing/scheduler/scheduler.h>
+#include <foxwing/scheduler/callerwatch.h>
 
 #include "endpoint.h"
 
@@ -55,6 +55,14 @@
 
     // An entry gives up its idle sessions, again and again, as one does whose subset changes.
     SessionsReleased,
+
+    // Callers lose their entries without a sign to these; as they are about to send their jobs
+    // again, all connections are reset. Entries read late or never which callers are gone, and
+    // their sessions come back one by one.
+    AllReset,
+
+    // Calls come to their entries only after their callers have given them up.
+    CallsHeldUp,
 };
 
 // Drawn together as "all": those after which every job is sent again until it is answered
@@ -92,6 +100,10 @@
     // Processes tell time by a clock that stops while their host is suspended.
     bool clocksStopAsleep = false;
 
+    // Entries take in calls, and place work after a loss of sessions, without a look whether the
+    // caller is there.
+    bool callersNotSeen = false;
+
     // Endpoints carry out what has a lower fence than what they have seen.
     bool fencesIgnored = false;
 };
@@ -147,9 +159,18 @@
 
     void submitJobs();
     void submit(const jobs::JobSpec &spec, Time firstSent);
+    Milliseconds wayOfCall(std::uint64_t call, int entry);
+    void takeIn(int entry, std::uint64_t call, const jobs::JobSpec &spec);
     void callerLost(std::uint64_t call);
     void closeCall(std::uint64_t call);
     void callerGoes(int entry, bool comesBack);
+    void callersLostInSilence();
+    void resetAll();
+    void resetCallers(int entry);
+    void resetSessions(int entry);
+    void readEndLater(int entry, std::uint64_t job, std::uint64_t call);
+    void readEnd(int entry, std::uint64_t job, std::uint64_t call);
+    void seeCallers(int entry);
     void tickEntry(int entry);
     void tickAgent(int agent);
     void connect(int entry, int agent);
@@ -218,6 +239,7 @@
     catalog::Cordons m_cordons;
     std::map<std::string, Time> m_cordonedSince;
     Time m_controlAwayUntil {};
+    Time m_callsHeldUntil {};
     WorldOutcome m_outcome;
 };
 
--- a/tests/fleet/worldfaults.cpp
+++ b/tests/fleet/worldfaults.cpp
@@ -3,6 +3,7 @@
 
     [SECTION] Control
     [SECTION] Faults
+    [SECTION] Resets
     [SECTION] Promises
 */
 #include "worldparts.h"
@@ -187,6 +188,13 @@
     case Fault::CallerCancels:
         callerGoes(static_cast<int>(entryNumber), false);
         break;
+    case Fault::AllReset:
+        callersLostInSilence();
+        at(m_now + ResendAfter - ResetBeforeResend, [this] { resetAll(); });
+        break;
+    case Fault::CallsHeldUp:
+        m_callsHeldUntil = std::max(m_callsHeldUntil, m_now + lasts);
+        break;
     case Fault::Cordon:
         changeCordon(dataCentreOf(static_cast<int>(agentNumber)), true);
         later([this, agentNumber] {
@@ -229,6 +237,85 @@
     });
 }
 
+// [SECTION] Resets
+
+// Every second caller loses its entry, which hears nothing of it.
+void World::callersLostInSilence()
+{
+    for (auto &entry : m_entries) {
+        for (const auto &[job, call] : std::map<std::uint64_t, std::uint64_t>(entry->calls)) {
+            if (m_random() % 2 == 0)
+                callerLost(call);
+        }
+    }
+}
+
+void World::resetAll()
+{
+    for (int i = 0; i < m_settings.entries; ++i) {
+        if (!m_entries[static_cast<std::size_t>(i)]->up)
+            continue;
+        resetCallers(i);
+        resetSessions(i);
+    }
+}
+
+// The ends of all connections have come to the entry's host; the entry reads them late or never.
+void World::resetCallers(int number)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    for (const auto &[job, call] : std::map<std::uint64_t, std::uint64_t>(entry.calls)) {
+        entry.endsUnread.insert(call);
+        callerLost(call);
+        readEndLater(number, job, call);
+    }
+}
+
+void World::readEndLater(int number, std::uint64_t job, std::uint64_t call)
+{
+    std::uniform_int_distribution<std::int64_t> readAfter(1, LastEndRead.count());
+    if (m_random() % 4 != 0)
+        on(*m_entries[static_cast<std::size_t>(number)], Milliseconds(readAfter(m_random)),
+           [this, number, job, call] { readEnd(number, job, call); });
+}
+
+void World::resetSessions(int number)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    std::uniform_int_distribution<std::int64_t> backAfter(0, LastSessionBack.count());
+    for (int agent = 0; agent < m_settings.agents; ++agent) {
+        entry.sessions[static_cast<std::size_t>(agent)].backAt = m_now
+                + Milliseconds(backAfter(m_random));
+        disconnect(number, agent);
+    }
+}
+
+void World::readEnd(int number, std::uint64_t job, std::uint64_t call)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    entry.endsUnread.erase(call);
+    const auto found = entry.calls.find(job);
+    // Another call may have joined the job since.
+    if (found == entry.calls.end() || found->second != call)
+        return;
+    entry.calls.erase(found);
+    carryOut(number, scheduler::abandon(entry.state, job, clockOf(entry)));
+}
+
+// As the daemon's shell does before what may place work.
+void World::seeCallers(int number)
+{
+    Entry &entry = *m_entries[static_cast<std::size_t>(number)];
+    if (m_settings.callersNotSeen)
+        return;
+    for (const std::uint64_t job :
+         scheduler::callersToSee(entry.watch, entry.state, clockOf(entry))) {
+        const auto call = entry.calls.find(job);
+        if (call != entry.calls.end() && entry.endsUnread.count(call->second) != 0)
+            readEnd(number, job, call->second);
+    }
+}
+
 // [SECTION] Promises
 
 void World::violate(std::uint64_t &counter, const std::string &what)
--- a/tests/fleet/worldparts.h
+++ b/tests/fleet/worldparts.h
@@ -24,6 +24,18 @@
 // its entry sends the job again.
 constexpr Milliseconds UnwantedRunBound { 1300 };
 
+// All connections are reset so long before the callers that lost their entries send again: agents
+// have stopped the runs of the sessions that were reset by then.
+constexpr Milliseconds ResetBeforeResend { 100 };
+
+// A session comes back, and an entry reads that a caller is gone, within these after the reset.
+constexpr Milliseconds LastSessionBack { 300 };
+constexpr Milliseconds LastEndRead { 1000 };
+
+// A call that is held up comes between these after it was sent, and was given up before.
+constexpr Milliseconds HeldCallGivenUp { 300 };
+constexpr Milliseconds LongestHeldCall { 3000 };
+
 // From a change of the cordons until all who are in touch with control know it: the longest way of
 // the news, and a lease of the endpoint for starts that were ordered before.
 constexpr Milliseconds LongestNews { 50 };
@@ -63,6 +75,9 @@
 {
     std::uint64_t number = 0;
     bool open = false;
+
+    // After a reset, when it can be opened again
+    Time backAt {};
 };
 
 struct World::Entry : World::Process
@@ -74,6 +89,10 @@
     // To each agent
     std::vector<Session> sessions;
     std::map<std::uint64_t, std::uint64_t> calls;
+
+    // Calls whose callers are gone, which the entry has not read yet
+    std::set<std::uint64_t> endsUnread;
+    scheduler::CallerWatch watch;
 };
 
 struct World::Agent : World::Process
