Jobs end with their caller's patience, not after 15 s

Cause: a job was given up 15 s after it came, whatever its caller had said.

Change: where the caller says how long it waits, that is the bound. Where it does not, the bound is the larger of longestJob and lateFactor objectives, after which the result is worth nothing by the scheduler's own account.

Ruled out: a larger constant (it cuts the next longer job); no bound without patience (runs that never end would hold room for ever).

Test: EndlessJobs, seven rows. No existing test is changed.

Of the same kind, looked at and left: mostTasksPerJob (2,000; a true refusal at once, bounds memory), MostTasks and LongestEstimate of the adapter (24 h; keep sums from overflowing), MostMilliseconds (2^40 ms and an hour's cap on a forecast), mostHold (250 ms; a call whose queue is not known, refused truly), refuseAbove (a true refusal before anything ran), mostCrashes and crashingFor (guard the endpoints).

--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -155,8 +155,8 @@
     // those who wait for it.
     Milliseconds crashingFor { 60000 };
 
-    // Work that has begun is finished, late too, but not beyond this: the longest task that the
-    // users name runs for several seconds.
+    // Work that has begun is finished, late too, for as long as its caller waits. Where the caller
+    // does not say how long that is, up to this, or to lateFactor objectives if those take longer.
     Milliseconds longestJob { 15000 };
 
     // A job whose expected wait is over this many objectives is refused at once.
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -13,6 +13,12 @@
 
 // [SECTION] Admission
 
+Microseconds scaled(Milliseconds span, double factor)
+{
+    return std::chrono::duration_cast<Microseconds>(
+            std::chrono::duration<double, std::milli>(static_cast<double>(span.count()) * factor));
+}
+
 namespace {
 
 std::vector<Milliseconds> guesses(const jobs::JobSpec &spec)
@@ -23,12 +29,6 @@
     return spans;
 }
 
-Microseconds scaled(Milliseconds span, double factor)
-{
-    return std::chrono::duration_cast<Microseconds>(
-            std::chrono::duration<double, std::milli>(static_cast<double>(span.count()) * factor));
-}
-
 std::uint64_t taskCount(const jobs::JobSpec &spec)
 {
     std::uint64_t count = 0;
--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -45,6 +45,7 @@
 
 // The longest chain through the steps, with these spans for the steps.
 Milliseconds longestChain(const jobs::JobSpec &spec, const std::vector<Milliseconds> &spans);
+Microseconds scaled(Milliseconds span, double factor);
 
 // [SECTION] Freed room
 
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -320,6 +320,18 @@
         removeIfFinished(scheduler, number);
 }
 
+// When nobody waits for the job any longer, begun or not.
+Time endOfJob(const SchedulerState &scheduler, const Job &job)
+{
+    if (job.terms.patienceUntil)
+        return *job.terms.patienceUntil;
+    const auto objective = std::chrono::duration_cast<Milliseconds>(job.objectiveAt
+                                                                    - job.arrivedAt);
+    return job.arrivedAt
+            + std::max<Microseconds>(scheduler.settings.longestJob,
+                                     scaled(objective, scheduler.settings.lateFactor));
+}
+
 // Jobs that nobody waits for any longer, and those that have not begun and are worth nothing.
 void giveUpLate(SchedulerState &scheduler, Time now, SchedulerActions &actions)
 {
@@ -328,9 +340,8 @@
         const Time worth = scheduler.settings.refuseLate ? job.onTimeUntil : job.worthUntil;
         const bool hopeless = certainlyNotBegun(job) && now > worth;
         const bool unbegun = certainlyNotBegun(job) && now >= job.terms.beginBy;
-        const bool endless = now >= job.arrivedAt + scheduler.settings.longestJob;
-        const bool unwanted = job.terms.patienceUntil && now >= *job.terms.patienceUntil;
-        if (!job.over && (unbegun || endless || unwanted || hopeless))
+        const bool unwanted = now >= endOfJob(scheduler, job);
+        if (!job.over && (unbegun || unwanted || hopeless))
             over.push_back(number);
     }
     for (const std::uint64_t number : over) {
--- a/packages/scheduler/tests/ending_test.cpp
+++ b/packages/scheduler/tests/ending_test.cpp
@@ -207,6 +207,69 @@
                                JobOutcome::TimedOut }),
         [](const auto &tested) { return tested.param.name; });
 
+struct EndlessCase
+{
+    const char *name;
+    Milliseconds estimate;
+    std::optional<Milliseconds> patience;
+    Milliseconds after;
+    bool over;
+};
+
+class EndlessJobs : public testing::TestWithParam<EndlessCase>
+{ };
+
+// A job of one task that has begun and does not end. Its objective is 1.6 times the estimate and
+// 60 ms.
+TEST_P(EndlessJobs, AreGivenUpWhenNobodyWaitsAnyLonger)
+{
+    Bench bench({ 4000 });
+    JobTerms terms = bench.terms();
+    if (GetParam().patience)
+        terms.patienceUntil = bench.now + *GetParam().patience;
+    jobs::JobSpec spec;
+    spec.id = "job";
+    spec.traits = bench.traits;
+    spec.steps.resize(1);
+    spec.steps[0].tasks = 1;
+    spec.steps[0].room = { 1000, 10, 0 };
+    spec.steps[0].estimate = GetParam().estimate;
+    ASSERT_EQ(startsIn(submit(bench.scheduler, spec, terms, bench.now, &bench.number)), 1U);
+    const SchedulerActions actions = bench.pass(GetParam().after);
+    ASSERT_EQ(actions.answers.size(), GetParam().over ? 1U : 0U);
+    if (GetParam().over) {
+        EXPECT_EQ(actions.answers[0].outcome, JobOutcome::TimedOut);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Scheduler, EndlessJobs,
+        testing::Values(
+                EndlessCase { "ThePatienceLasts", Milliseconds(11600), Milliseconds(40700),
+                              Milliseconds(40699), false },
+                EndlessCase { "ThePatienceIsOver", Milliseconds(11600), Milliseconds(40700),
+                              Milliseconds(40700), true },
+                EndlessCase { "ShortWithLongPatience", Milliseconds(100), Milliseconds(40700),
+                              Milliseconds(20000), false },
+                EndlessCase { "LongWithoutPatience",
+                              Milliseconds(11600),
+                              {},
+                              Milliseconds(50000),
+                              false },
+                EndlessCase { "LongWithoutPatienceAtItsBound",
+                              Milliseconds(11600),
+                              {},
+                              Milliseconds(56000),
+                              true },
+                EndlessCase {
+                        "ShortWithoutPatience", Milliseconds(100), {}, Milliseconds(14999), false },
+                EndlessCase { "ShortWithoutPatienceAtItsBound",
+                              Milliseconds(100),
+                              {},
+                              Milliseconds(15000),
+                              true }),
+        [](const auto &tested) { return tested.param.name; });
+
 // [SECTION] Lost agents
 
 TEST(SchedulerLost, ARunIsStartedAgainOnlyOnceItIsCertainlyOver)
