Forecast of waits from what agents tell

Cause: an entry knows the pace of freed room only from its own ends and guesses at what waits elsewhere.

Change: packages/forecast makes one picture of a service from the last news of its agents (starts that wait, by priority; free pieces; room freed each second) and answers when a job would find room, and when a refused caller should come back. Beyond the agreed header: free pieces are kept apart and only whole tasks are counted in them, and a share says what part of the freed room comes to this entry, since what waits at other entries is not told. FadingSum in packages/base holds a pace with old amounts fading.

Ruled out: one sum of free room (pieces too small for a task would promise room that is none).

--- /dev/null
+++ b/packages/base/include/foxwing/base/fadingsum.h
@@ -0,0 +1,44 @@
+/*
+    A sum in which old amounts fade: the pace of something that comes in pieces.
+
+        addTo(freed, Milliseconds(300), room, now);
+        const double pace = perSecond(freed, Milliseconds(300), now);
+
+    [SECTION] Sum
+*/
+#pragma once
+
+#include <cmath>
+
+#include <foxwing/base/time.h>
+
+namespace foxwing {
+
+// [SECTION] Sum
+
+struct FadingSum
+{
+    // Each amount falls to a third within the span that it is kept for
+    double amount = 0;
+    Time at {};
+};
+
+inline double fadedAmount(const FadingSum &sum, Milliseconds span, Time now)
+{
+    const double spans = std::chrono::duration<double>(now - sum.at)
+            / std::chrono::duration<double>(span);
+    return sum.amount * std::exp(-spans);
+}
+
+inline void addTo(FadingSum &sum, Milliseconds span, double amount, Time now)
+{
+    sum.amount = fadedAmount(sum, span, now) + amount;
+    sum.at = now;
+}
+
+inline double perSecond(const FadingSum &sum, Milliseconds span, Time now)
+{
+    return fadedAmount(sum, span, now) / std::chrono::duration<double>(span).count();
+}
+
+} // namespace foxwing
--- a/packages/forecast/include/foxwing/forecast/forecast.h
+++ b/packages/forecast/include/foxwing/forecast/forecast.h
@@ -5,8 +5,9 @@
     Every entry makes the same forecast of the same news. It decides what is refused at once, what
     is late and still worth waiting for, and when a caller should come back.
 
-        Picture picture = makePicture();
+        Picture picture;
         addAgent(picture, news, now);        // for each agent of the service
+        picture.share = share;
         const std::optional<Milliseconds> wait = expectedWait(picture, wanted);
 
     [SECTION] Picture
@@ -40,10 +41,14 @@
     // By priority, most urgent first
     std::vector<jobs::WaitingRoom> waiting;
 
-    // Thousandths of a core: free in pieces that may be too small, and coming free each second
-    std::int64_t freeMilliCores = 0;
+    // Thousandths of a core: free at each endpoint that has any, and coming free each second at all
+    // of them
+    std::vector<std::int64_t> free;
     double freedPerSecond = 0;
 
+    // Part of the freed room that comes to this entry: what waits at the others is not told
+    double share = 1;
+
     // Of the oldest news in it
     Microseconds age { 0 };
 };
@@ -53,7 +58,8 @@
 {
     std::uint32_t priority = 0;
 
-    // Thousandths of a core of all its tasks that wait
+    // Thousandths of a core of one task, and of all its tasks that wait
+    std::int64_t taskMilliCores = 0;
     std::int64_t milliCores = 0;
 
     // Work that waits at this entry and goes before it
@@ -65,14 +71,24 @@
 // News older than this is left out: the agent may be cut off.
 constexpr Milliseconds OldestNews { 500 };
 
+// A forecast says no more than this; sums of longer waits would overflow.
+constexpr Milliseconds LongestWait = std::chrono::hours(1);
+
+// What comeBackAfter() answers with.
+constexpr Milliseconds LeastComeBack { 100 };
+constexpr Milliseconds MostComeBack { 4000 };
+
 void addAgent(Picture &picture, const AgentNews &news, Time now);
 
+// Whether anything waits that goes before the job.
+bool hasWorkBefore(const Picture &picture, const Wanted &wanted);
+
 // Until what goes before it, and the job itself, have found room. Nothing is known, and nothing
-// returned, while no room came free of late.
+// returned, while no room came free of late and too little is free.
 std::optional<Milliseconds> expectedWait(const Picture &picture, const Wanted &wanted);
 
-// When a caller that is refused now should come back: once what waits has found room, and some
-// chance, from 0 to 1, on top so that not all come back together.
+// When a caller that is refused now should come back: once what waits has found room, and up to as
+// long again by chance, from 0 to 1, so that not all come back together.
 Milliseconds comeBackAfter(const Picture &picture, const Wanted &wanted, double chance);
 
 } // namespace foxwing::forecast
