Agents tell what waits for room and the pace at which room comes free

Cause: the fields were in the update and empty.

Change: an update holds the waiting starts by priority, in at most eight rows (the least urgent beyond go into the last one), and the room that ended runs gave back, with old ends fading over 300 ms. No update is sent because of them: what makes an update due is as before.

Room of failed runs is left out: an endpoint that fails all that it starts would seem to give back more room than any other.

--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -33,6 +33,7 @@
 #include <string>
 #include <vector>
 
+#include <foxwing/base/fadingsum.h>
 #include <foxwing/catalog/agreed.h>
 #include <foxwing/eventlog/eventlog.h>
 #include <foxwing/jobs/messages.h>
@@ -110,6 +111,14 @@
     Milliseconds stillAfter { 45 };
     Milliseconds lagRepeat { 150 };
 
+    // Ends of runs count for the pace at which room comes free for about this long: some turns of
+    // the shortest tasks, and less than a burst.
+    Milliseconds freedSpan { 300 };
+
+    // Rows about waiting starts in one update. Those of the least urgent priorities beyond it go
+    // into the last row, so that an update stays small whatever queues are declared.
+    std::size_t mostWaitingRows = 8;
+
     // Starts of one priority and more urgent ones may wait for up to this part of the endpoint's
     // room, in percent.
     std::int64_t waitingPercent = 15;
@@ -419,6 +428,9 @@
     // The next to start first: by priority, then as they came
     std::vector<WaitingStart> waiting;
 
+    // Room that ended runs gave back, in thousandths of a core
+    FadingSum freed;
+
     // Looks
     std::uint64_t lookNumber = 0;
     std::uint64_t lookAnswered = 0;
--- a/packages/runner/src/internal.h
+++ b/packages/runner/src/internal.h
@@ -30,6 +30,9 @@
 
 // Room that waiting starts of this priority and of more urgent ones are to get.
 jobs::Room waitingRoom(const RunnerState &runner, std::uint32_t priority);
+
+// The starts that wait here as entries are told of them, most urgent first.
+std::vector<jobs::WaitingRoom> waitingRows(const RunnerState &runner);
 bool mayWaitHere(const RunnerState &runner, const jobs::StartTasks &message);
 bool isWaiting(const RunnerState &runner, const jobs::TaskId &task);
 void addWaiting(RunnerState &runner, WaitingStart start);
--- a/packages/runner/src/offer.cpp
+++ b/packages/runner/src/offer.cpp
@@ -7,6 +7,7 @@
 #include "internal.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace foxwing::runner {
 
@@ -157,6 +158,9 @@
     update.mostStarts = most;
     update.paceMille = static_cast<std::uint32_t>(runner.life.pace * 1000);
     update.leaving = runner.endpoint.leaving || runner.stopping;
+    update.waiting = waitingRows(runner);
+    update.freedPerSecond = static_cast<std::uint32_t>(
+            std::lround(perSecond(runner.freed, runner.settings.freedSpan, now)));
     update.ended.swap(session.ended);
     update.lagging.swap(session.lagging);
     if (session.toldView != runner.viewNumber)
--- a/packages/runner/src/runner.cpp
+++ b/packages/runner/src/runner.cpp
@@ -87,6 +87,15 @@
 
 } // namespace
 
+// Room of failed runs is left out: an endpoint that fails all that it starts would seem to give
+// back more room than any other.
+static void noteFreed(RunnerState &runner, const Run &run, RunEnd end, Time now)
+{
+    if (end == RunEnd::Done || end == RunEnd::Stopped)
+        addTo(runner.freed, runner.settings.freedSpan, static_cast<double>(run.room.milliCores),
+              now);
+}
+
 void endRun(RunnerState &runner, const RunId &id, RunEnd end, RefusedStart refused, Time now,
             RunnerActions &actions)
 {
@@ -96,6 +105,7 @@
     const Run run = found->second;
     runner.runs.erase(found);
     countEnd(runner, end);
+    noteFreed(runner, run, end, now);
     const bool began = run.startedAt != Time {};
     const auto took = std::chrono::duration_cast<Milliseconds>(began ? now - run.startedAt
                                                                      : Microseconds(0));
--- a/packages/runner/src/waiting.cpp
+++ b/packages/runner/src/waiting.cpp
@@ -27,6 +27,18 @@
     return room;
 }
 
+std::vector<jobs::WaitingRoom> waitingRows(const RunnerState &runner)
+{
+    std::vector<jobs::WaitingRoom> rows;
+    for (const WaitingStart &start : runner.waiting) {
+        const bool full = rows.size() >= runner.settings.mostWaitingRows;
+        if (rows.empty() || (rows.back().priority != start.priority && !full))
+            rows.push_back({ start.priority, 0 });
+        rows.back().milliCores += start.room.milliCores;
+    }
+    return rows;
+}
+
 bool mayWaitHere(const RunnerState &runner, const jobs::StartTasks &message)
 {
     if (message.mayWait.count() <= 0 || !jobs::fits(message.room, runner.endpoint.capacity))
--- a/packages/runner/tests/bench.h
+++ b/packages/runner/tests/bench.h
@@ -144,6 +144,7 @@
     Time now { Seconds(100) };
     bool failLook = false;
     std::uint64_t lastEnd = 0;
+    std::uint64_t lastBeat = 0;
 };
 
 // [SECTION] Actions
--- a/packages/runner/tests/sessions_test.cpp
+++ b/packages/runner/tests/sessions_test.cpp
@@ -112,5 +112,94 @@
     EXPECT_EQ(actions.updates[0].second.startsTaken, 1U);
 }
 
+// What the next update to the entry says.
+jobs::AgentUpdate nextUpdate(Bench &bench)
+{
+    bench.pass(bench.runner.settings.calmInterval);
+    const RunnerActions actions = sessionBeat(bench.runner, Entry, { ++bench.lastBeat, true },
+                                              bench.now);
+    return actions.updates.empty() ? jobs::AgentUpdate() : actions.updates.back().second;
+}
+
+struct WaitingRowsCase
+{
+    const char *name;
+    std::size_t mostRows;
+
+    // Of starts of 100 thousandths of a core each
+    std::vector<std::uint32_t> priorities;
+    std::vector<std::pair<std::uint32_t, std::int64_t>> rows;
+};
+
+class WaitingRows : public testing::TestWithParam<WaitingRowsCase>
+{ };
+
+TEST_P(WaitingRows, TellWhatWaitsByPriority)
+{
+    Bench bench;
+    bench.runner.settings.mostWaitingRows = GetParam().mostRows;
+    bench.start(0, 4000);
+    std::uint32_t index = 0;
+    for (const std::uint32_t priority : GetParam().priorities) {
+        jobs::StartTasks message;
+        message.job = "job";
+        message.room = { 100, 10, 0 };
+        message.estimate = Milliseconds(100);
+        message.priority = priority;
+        message.mayWait = Milliseconds(1000);
+        message.starts = { { ++index, 1 } };
+        startTasks(bench.runner, Entry, message, bench.now);
+    }
+    std::vector<std::pair<std::uint32_t, std::int64_t>> rows;
+    for (const jobs::WaitingRoom &row : nextUpdate(bench).waiting)
+        rows.emplace_back(row.priority, row.milliCores);
+    EXPECT_EQ(rows, GetParam().rows);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Runner, WaitingRows,
+        testing::Values(
+                WaitingRowsCase { "None", 8, {}, {} },
+                WaitingRowsCase { "OneQueue", 8, { 1, 1 }, { { 1, 200 } } },
+                WaitingRowsCase {
+                        "ThreeQueues", 8, { 2, 0, 1, 0 }, { { 0, 200 }, { 1, 100 }, { 2, 100 } } },
+                WaitingRowsCase {
+                        "MoreQueuesThanRows", 2, { 0, 1, 2, 3 }, { { 0, 100 }, { 1, 300 } } }),
+        [](const auto &tested) { return tested.param.name; });
+
+struct FreedCase
+{
+    const char *name;
+    RunEnd end;
+
+    // From the end to the update
+    Milliseconds after;
+    double perSecond;
+};
+
+class FreedPace : public testing::TestWithParam<FreedCase>
+{ };
+
+// A run of 900 thousandths of a core gives its room back: 3000 a second over 300 ms.
+TEST_P(FreedPace, IsToldAndFades)
+{
+    Bench bench;
+    bench.start(1, 900);
+    startAnswered(bench.runner, runId(1), { Answer::Ok, bench.clock() }, bench.now);
+    Look look;
+    look.ended = { { 1, runId(1), GetParam().end } };
+    bench.answerLook(look);
+    bench.pass(GetParam().after - bench.runner.settings.calmInterval);
+    EXPECT_NEAR(nextUpdate(bench).freedPerSecond, GetParam().perSecond, 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Runner, FreedPace,
+        testing::Values(FreedCase { "Done", RunEnd::Done, Milliseconds(100), 3000 * 0.7165 },
+                        FreedCase { "LongAgo", RunEnd::Done, Milliseconds(300), 3000 * 0.3679 },
+                        FreedCase { "Stopped", RunEnd::Stopped, Milliseconds(100), 3000 * 0.7165 },
+                        FreedCase { "Failed", RunEnd::Failed, Milliseconds(100), 0 }),
+        [](const auto &tested) { return tested.param.name; });
+
 } // namespace
 } // namespace foxwing::runner
