Refusal, late jobs and Retry-After go by one forecast

Cause: in an overload nothing was refused within 5 ms, half of the refusals came after 88 ms and more, and what could not be on time was refused though its caller would have waited.

Change, each off unless [policy] asks for it: - forecast: at arrival a job is refused if its expected wait is beyond the time until which it is worth beginning (refuse_at_arrival_percent widens that). Where agents have told no pace, the old way decides. What comes to a priority is the room that it and less urgent ones got here of late, over what all agents told. Retry-After is that wait, spread up to twice as far. - serve_late (takes the forecast along): a job that has not begun and can't be on time waits on in rank Late while the forecast says that it begins before its caller has gone, the next to lose its caller first. It begins as a whole, in room that was told as free for 40 ms, only while nothing on time waits here; its starts never wait at agents. - Refusals log expected_wait_ms and picture_age_ms.

What waits before a job is refused itself once late, so the queue's length tells little of the single job.

One existing check reads a renamed field (placing_test.cpp, freed room of a service: milliCores is now ofLate.amount); its bound is the same.

--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -30,8 +30,10 @@
 #include <string>
 #include <vector>
 
+#include <foxwing/base/fadingsum.h>
 #include <foxwing/catalog/agreed.h>
 #include <foxwing/eventlog/eventlog.h>
+#include <foxwing/forecast/forecast.h>
 #include <foxwing/jobs/messages.h>
 #include <foxwing/scheduler/runtimes.h>
 
@@ -173,6 +175,26 @@
     // shortest tasks, and less than a burst.
     Milliseconds freedSpan { 300 };
 
+    // Refusal at arrival and the time to come back go by the forecast of what all agents tell, and
+    // not by what this entry sees by itself. In force with serveLate, too.
+    bool forecast = false;
+
+    // The part of freed room that comes to this entry is taken over about this long: above a burst
+    // of one queue, so that the pace of the moment is the agents' alone.
+    Milliseconds shareSpan { 2000 };
+
+    // What agents tell is added up so often for that.
+    Milliseconds shareInterval { 100 };
+
+    // A job that can't be on time any more waits on, behind all that can, as long as the forecast
+    // says that it begins before its caller has gone. Needs refuseLate, without which all late jobs
+    // wait on.
+    bool serveLate = false;
+
+    // Late jobs take only room that was told as free for this long: two rounds of news, in which
+    // any entry with a job that can be on time has taken what it needs.
+    Milliseconds restSpan { 40 };
+
     // A job that has not begun when it counts as late is refused. What is late takes the room of
     // what is not: without this, a day with a tenth more work than room served 0.84 of its worth
     // in place of 0.90.
@@ -284,6 +306,10 @@
     // Begun later, it is worth nothing.
     Time worthUntil {};
 
+    // Begun by then, a late job still ends while its caller waits; onTimeUntil where its queue
+    // leaves no time beyond the objective.
+    Time lateUntil {};
+
     std::vector<Task> tasks;
     std::vector<std::uint32_t> tasksLeft;
     std::uint32_t waiting = 0;
@@ -332,6 +358,16 @@
         jobs::Room room;
     };
     std::vector<Pending> pending;
+
+    // The least room that it told as free within this restSpan and the one before: what the other
+    // entries leave free, too
+    std::int64_t leastFree = 0;
+    std::int64_t leastFreeBefore = 0;
+    Time leastFreeSince {};
+
+    // Starts of all entries that wait there, and the room that comes free there, as it told last
+    std::vector<jobs::WaitingRoom> waiting;
+    std::uint32_t freedPerSecond = 0;
 };
 
 // [SECTION] State
@@ -351,12 +387,14 @@
     }
 };
 
-// Room that ended runs gave back, with old ends fading: what waits here can count on it.
+// Room of one service that ended runs gave back, in thousandths of a core.
 struct FreedRoom
 {
-    // Thousandths of a core, each end's share falling to a third within the span
-    double milliCores = 0;
-    Time at {};
+    // Of this entry, of late: what waits here can count on it.
+    FadingSum ofLate;
+
+    // Of this entry by priority, over shareSpan; without failed runs, as agents tell it
+    std::map<std::uint32_t, FadingSum> own;
 };
 
 struct SchedulerCounters
@@ -367,6 +405,9 @@
     std::uint64_t refused = 0;
     std::uint64_t timedOut = 0;
     std::uint64_t abandoned = 0;
+
+    // Completed, though they began too late to be on time
+    std::uint64_t servedLate = 0;
     std::uint64_t starts = 0;
     std::uint64_t startsRefused = 0;
     std::uint64_t runsMoved = 0;
@@ -410,6 +451,10 @@
     // By service
     std::map<std::string, FreedRoom> freed;
 
+    // The same of all entries as agents told it, over shareSpan; only where the forecast is in use
+    std::map<std::string, FadingSum> told;
+    Time toldAddedAt {};
+
     // Priorities of the jobs that came since the declared queues changed last
     std::uint32_t mostUrgent = std::numeric_limits<std::uint32_t>::max();
     std::uint32_t leastUrgent = 0;
@@ -499,6 +544,27 @@
 // Whether some endpoint of some service could take work.
 bool reachesEndpoints(const SchedulerState &scheduler);
 
+// Part of the freed room of a service that comes to this entry for jobs of this priority and of
+// less urgent ones.
+double shareFor(const SchedulerState &scheduler, const std::string &service, std::uint32_t priority,
+                Time now);
+
+// What the forecast says now, for the operator.
+struct Outlook
+{
+    // Of a job of the size of one core that comes now and goes after all that waits; of the service
+    // with the longest such wait. Nothing while no room came free of late.
+    std::optional<Milliseconds> wait;
+
+    // Of the oldest news in it
+    Microseconds age { 0 };
+
+    // Jobs that wait though they can't be on time any more
+    std::size_t waitingLate = 0;
+};
+
+Outlook outlook(const SchedulerState &scheduler, Time now);
+
 // Jobs that are not answered yet.
 std::size_t openJobs(const SchedulerState &scheduler);
 
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -57,6 +57,8 @@
     const auto objective = std::chrono::duration_cast<Milliseconds>(job.objectiveAt
                                                                     - job.arrivedAt);
     job.worthUntil = job.arrivedAt + scaled(objective, settings.lateFactor) - chain;
+    const Time callerGone = terms.patienceUntil.value_or(Time::max());
+    job.lateUntil = std::max(job.onTimeUntil, std::min(callerGone - chain, terms.beginBy));
     return job;
 }
 
@@ -134,6 +136,25 @@
     return waiting > 0 && waiting > perMillisecond * most;
 }
 
+// The same by the forecast; nothing if it does not know.
+std::optional<bool> forecastIsTooLong(const SchedulerState &scheduler, const Job &wanted, Time now)
+{
+    const SchedulerSettings &settings = scheduler.settings;
+    const auto within = [&](std::optional<Milliseconds> wait, Time until) {
+        const auto slack = std::chrono::duration_cast<Milliseconds>(until - now);
+        return wait && *wait * 100 <= slack * settings.refuseAtArrivalPercent;
+    };
+    if (!usesForecast(scheduler) || settings.refuseAtArrivalPercent == 0)
+        return std::nullopt;
+    const std::optional<Milliseconds> wait = waitOnTime(scheduler, wanted, now);
+    if (!wait)
+        return std::nullopt;
+    if (within(wait, settings.refuseLate ? wanted.onTimeUntil : wanted.worthUntil))
+        return false;
+    const bool mayBeLate = settings.serveLate && wanted.lateUntil > wanted.onTimeUntil;
+    return !mayBeLate || !within(waitLate(scheduler, wanted, now), wanted.lateUntil);
+}
+
 bool anySuits(const SchedulerState &scheduler, const Job &job, const jobs::StepSpec &step)
 {
     bool any = false;
@@ -155,6 +176,16 @@
     return job.terms.cameAt && job.latestBegin > job.arrivedAt && now > job.latestBegin;
 }
 
+bool mustWaitTooLong(const SchedulerState &scheduler, const Job &job, Time now)
+{
+    if (const auto tooLong = forecastIsTooLong(scheduler, job, now))
+        return *tooLong;
+    const auto objective = std::chrono::duration_cast<Milliseconds>(job.objectiveAt
+                                                                    - job.arrivedAt);
+    return expectedWait(scheduler, job) > scaled(objective, scheduler.settings.refuseAbove)
+            || waitsTooLong(scheduler, job, now);
+}
+
 // Why a job is not taken; empty if it is.
 std::string refusal(const SchedulerState &scheduler, const Job &job, Time now)
 {
@@ -168,13 +199,8 @@
         return "a job needs at least one task, and at most the number in the settings";
     if (heldTooLong(job, now) && scheduler.settings.refuseLate)
         return "it waited too long for the queues to be known";
-    const Microseconds wait = expectedWait(scheduler, job);
-    const Microseconds objective = job.objectiveAt - job.arrivedAt;
-    if (wait > scaled(std::chrono::duration_cast<Milliseconds>(objective),
-                      scheduler.settings.refuseAbove)
-        || waitsTooLong(scheduler, job, now))
-        return "the work before it takes longer than it may wait";
-    return "";
+    return mustWaitTooLong(scheduler, job, now) ? "the work before it takes longer than it may wait"
+                                                : "";
 }
 
 // Whether the job was given up of late since endpoints crashed under it. Forgets who is past that.
--- a/packages/scheduler/src/ending.cpp
+++ b/packages/scheduler/src/ending.cpp
@@ -7,7 +7,6 @@
     [SECTION] Reports
 */
 #include <algorithm>
-#include <cmath>
 
 #include "internal.h"
 
@@ -81,6 +80,13 @@
     return event;
 }
 
+void addForecast(const SchedulerState &scheduler, const Job &job, Time now, Event &event)
+{
+    event.with("picture_age_ms", pictureOf(scheduler, job.terms.service, now).age);
+    if (const auto wait = waitOnTime(scheduler, job, now))
+        event.with("expected_wait_ms", *wait);
+}
+
 // What a refusal was decided on: how much room this entry knew of.
 void addRoom(const SchedulerState &scheduler, const Job &job, Time now, Event &event)
 {
@@ -105,11 +111,15 @@
             .with("jobs_waiting", std::uint64_t { scheduler.queue.size() });
     if (!job.spec.steps.empty())
         event.with("needs_millicores", job.spec.steps.front().room.milliCores);
+    if (usesForecast(scheduler))
+        addForecast(scheduler, job, now, event);
 }
 
 // Time for the room to take what waits now, at least a tenth of a second.
-Milliseconds retryAfter(const SchedulerState &scheduler)
+Milliseconds retryAfter(SchedulerState &scheduler, const Job &job, Time now)
 {
+    if (usesForecast(scheduler))
+        return comeBackAfter(scheduler, job, now);
     constexpr Milliseconds Least { 100 };
     constexpr Milliseconds Most { 2000 };
     constexpr Milliseconds PerWaitingJob { 10 };
@@ -126,12 +136,14 @@
     dequeue(scheduler, job);
     job.over = true;
     countAnswer(scheduler.counters, outcome);
+    if (outcome == JobOutcome::Completed && job.firstPlacedAt > job.onTimeUntil)
+        ++scheduler.counters.servedLate;
     JobAnswer answer;
     answer.number = job.number;
     answer.outcome = outcome;
     answer.reason = reason;
     if (outcome == JobOutcome::NotRun)
-        answer.retryAfter = retryAfter(scheduler);
+        answer.retryAfter = retryAfter(scheduler, job, now);
     actions.answers.push_back(answer);
     Event event = answerEvent(job, outcome, reason, now);
     if (outcome == JobOutcome::NotRun)
@@ -214,35 +226,26 @@
 
 // [SECTION] Freed room
 
-namespace {
-
-double faded(const SchedulerState &scheduler, const FreedRoom &freed, Time now)
-{
-    const double spans = std::chrono::duration<double>(now - freed.at)
-            / std::chrono::duration<double>(scheduler.settings.freedSpan);
-    return freed.milliCores * std::exp(-spans);
-}
-
-} // namespace
-
-void noteFreed(SchedulerState &scheduler, const std::string &service, const jobs::Room &room,
+void noteFreed(SchedulerState &scheduler, const Job &job, const jobs::Room &room, RunEnd end,
                Time now)
 {
-    FreedRoom &freed = scheduler.freed[service];
-    freed.milliCores = faded(scheduler, freed, now) + static_cast<double>(room.milliCores);
-    freed.at = now;
+    FreedRoom &freed = scheduler.freed[job.terms.service];
+    const auto milliCores = static_cast<double>(room.milliCores);
+    addTo(freed.ofLate, scheduler.settings.freedSpan, milliCores, now);
+    if (end == RunEnd::Done || end == RunEnd::Stopped)
+        addTo(freed.own[job.terms.priority], scheduler.settings.shareSpan, milliCores, now);
 }
 
 void scaleFreed(SchedulerState &scheduler, const std::string &service, double part)
 {
     const auto freed = scheduler.freed.find(service);
     if (freed != scheduler.freed.end())
-        freed->second.milliCores *= part;
+        freed->second.ofLate.amount *= part;
 }
 
 double freedPerMillisecond(const SchedulerState &scheduler, const FreedRoom &freed, Time now)
 {
-    return faded(scheduler, freed, now) / static_cast<double>(scheduler.settings.freedSpan.count());
+    return perSecond(freed.ofLate, scheduler.settings.freedSpan, now) / 1000;
 }
 
 // [SECTION] Reports
@@ -316,11 +319,11 @@
 
 // Room that came free in a cordoned data centre is no room for what waits.
 void noteRoomOf(SchedulerState &scheduler, const std::string &agent, const Job &job,
-                const Task &task, Time now)
+                const Task &task, RunEnd end, Time now)
 {
     const auto from = scheduler.agents.find(agent);
     if (from != scheduler.agents.end() && !isCordoned(scheduler, from->second))
-        noteFreed(scheduler, job.terms.service, job.spec.steps[task.step].room, now);
+        noteFreed(scheduler, job, job.spec.steps[task.step].room, end, now);
 }
 
 } // namespace
@@ -338,7 +341,7 @@
     else
         job->mayHaveBegun = true;
     if (report.end != RunEnd::NeverBegan)
-        noteRoomOf(scheduler, agent, *job, *task, now);
+        noteRoomOf(scheduler, agent, *job, *task, report.end, now);
     if (report.end == RunEnd::Done && !job->over) {
         taskDone(scheduler, *job, *task, report.took, now, actions);
     } else if (report.end == RunEnd::Failed && !job->over) {
--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -3,6 +3,7 @@
 
     [SECTION] Placing
     [SECTION] Freed room
+    [SECTION] Outlook
     [SECTION] Ending
 */
 #pragma once
@@ -40,6 +41,9 @@
 // Room that this entry may count on at an agent.
 jobs::Room roomAt(const Agent &agent);
 
+// The same for a job: one that waits on though it is late takes only room that nobody else wants.
+jobs::Room roomFor(const SchedulerState &scheduler, const Agent &agent, const Job &job);
+
 // Whether the endpoint may run the step at all, whatever runs on it now.
 bool suits(const Agent &agent, const Job &job, const jobs::StepSpec &step);
 
@@ -49,8 +53,8 @@
 
 // [SECTION] Freed room
 
-// An ended run has given its room back.
-void noteFreed(SchedulerState &scheduler, const std::string &service, const jobs::Room &room,
+// A run of the job has ended like this and given its room back.
+void noteFreed(SchedulerState &scheduler, const Job &job, const jobs::Room &room, jobs::RunEnd end,
                Time now);
 
 // Of the room that came free of late, only this part goes on coming free.
@@ -59,6 +63,33 @@
 // Thousandths of a core that came free in a millisecond, of late.
 double freedPerMillisecond(const SchedulerState &scheduler, const FreedRoom &freed, Time now);
 
+// [SECTION] Outlook
+
+bool usesForecast(const SchedulerState &scheduler);
+
+// What the agents of the service have told, without those that take nothing.
+forecast::Picture pictureOf(const SchedulerState &scheduler, const std::string &service, Time now);
+
+// Part of the freed room that comes to this entry, for jobs of any priority.
+double wholeShare(const SchedulerState &scheduler, const std::string &service, Time now);
+
+// Until a job that comes now has found room, if it can be on time and if it can't. Nothing if that
+// is not known.
+std::optional<Milliseconds> waitOnTime(const SchedulerState &scheduler, const Job &job, Time now);
+std::optional<Milliseconds> waitLate(const SchedulerState &scheduler, const Job &job, Time now);
+
+// Jobs that can't be on time any more, and wait on since they begin before their callers are gone.
+std::set<std::uint64_t> worthWaiting(SchedulerState &scheduler, Time now);
+
+// When a caller that is refused now should come back, by the forecast.
+Milliseconds comeBackAfter(SchedulerState &scheduler, const Job &job, Time now);
+
+// Adds up what agents tell of freed room.
+void addTold(SchedulerState &scheduler, Time now);
+
+// Whether there is room for all tasks of the job that are ready.
+bool fitsWhole(const SchedulerState &scheduler, const Job &job, Time now);
+
 // [SECTION] Ending
 
 void answerJob(SchedulerState &scheduler, Job &job, JobOutcome outcome, const std::string &reason,
--- a/packages/scheduler/src/order.cpp
+++ b/packages/scheduler/src/order.cpp
@@ -4,6 +4,8 @@
     [SECTION] Order
     [SECTION] Ranks
 */
+#include <algorithm>
+
 #include "internal.h"
 
 namespace foxwing::scheduler {
@@ -48,6 +50,9 @@
         // Of those that are late the newest goes first: the oldest are the next to be worth
         // nothing.
         key.rank = job.group == Rank::Late ? -arrived : latestBegin;
+        // Where late jobs are served, the next one to lose its caller goes first.
+        if (job.group == Rank::Late && scheduler.settings.serveLate)
+            key.rank = job.lateUntil.time_since_epoch().count();
         // What has begun goes on by its time: by its work the widest of these jobs would end late.
         if (scheduler.settings.order == Order::LeastWork && job.group == Rank::OnTime)
             key.rank = job.leftWhenQueued;
@@ -75,10 +80,12 @@
 
 namespace {
 
-Rank groupOf(const Job &job, Time now)
+Rank groupOf(const SchedulerState &scheduler, const Job &job, Time now)
 {
+    const Time worth = scheduler.settings.serveLate ? std::max(job.worthUntil, job.lateUntil)
+                                                    : job.worthUntil;
     if (job.runs > 0)
-        return now > job.worthUntil ? Rank::Hopeless : Rank::Begun;
+        return now > worth ? Rank::Hopeless : Rank::Begun;
     return job.onTimeUntil < now ? Rank::Late : Rank::OnTime;
 }
 
@@ -90,7 +97,7 @@
     const std::vector<QueueKey> before(scheduler.queue.begin(), scheduler.queue.end());
     for (const QueueKey &key : before) {
         Job &job = scheduler.jobs.at(key.number);
-        const Rank group = groupOf(job, now);
+        const Rank group = groupOf(scheduler, job, now);
         if (group == job.group)
             continue;
         dequeue(scheduler, job);
--- /dev/null
+++ b/packages/scheduler/src/outlook.cpp
@@ -0,0 +1,260 @@
+/*
+    What the entry knows of the forecast: the picture of a service, the part of it that is this
+    entry's, and what follows for its jobs.
+
+    [SECTION] Picture
+    [SECTION] Share
+    [SECTION] Waits
+    [SECTION] Late jobs
+*/
+#include <algorithm>
+
+#include "internal.h"
+
+namespace foxwing::scheduler {
+
+// [SECTION] Picture
+
+bool usesForecast(const SchedulerState &scheduler)
+{
+    return scheduler.settings.forecast || scheduler.settings.serveLate;
+}
+
+namespace {
+
+bool takesWork(const SchedulerState &scheduler, const Agent &agent, const std::string &service)
+{
+    return agent.welcomed && !agent.endpoint.leaving && agent.endpoint.mostStarts > 0
+            && agent.endpoint.service == service && !isCordoned(scheduler, agent);
+}
+
+} // namespace
+
+forecast::Picture pictureOf(const SchedulerState &scheduler, const std::string &service, Time now)
+{
+    forecast::Picture picture;
+    for (const auto &[name, agent] : scheduler.agents) {
+        if (takesWork(scheduler, agent, service))
+            forecast::addAgent(picture,
+                               { roomAt(agent).milliCores, agent.waiting, agent.freedPerSecond,
+                                 agent.heardAt },
+                               now);
+    }
+    return picture;
+}
+
+// [SECTION] Share
+
+namespace {
+
+// Never taken for less, so that a queue of which nothing ran of late is tried again.
+constexpr double LeastShare = 0.01;
+
+std::set<std::string> services(const SchedulerState &scheduler)
+{
+    std::set<std::string> names;
+    for (const auto &[name, agent] : scheduler.agents) {
+        if (agent.welcomed)
+            names.insert(agent.endpoint.service);
+    }
+    return names;
+}
+
+bool goesByPriority(const SchedulerState &scheduler)
+{
+    const Order order = scheduler.settings.order;
+    return order == Order::Priority || order == Order::LeastWork;
+}
+
+} // namespace
+
+void addTold(SchedulerState &scheduler, Time now)
+{
+    const SchedulerSettings &settings = scheduler.settings;
+    const Microseconds span = now - scheduler.toldAddedAt;
+    if (!usesForecast(scheduler) || span < settings.shareInterval)
+        return;
+    scheduler.toldAddedAt = now;
+    // After a pause of this process the pace of the time between is not known.
+    if (span > 2 * settings.shareInterval)
+        return;
+    for (const std::string &service : services(scheduler)) {
+        const double pace = pictureOf(scheduler, service, now).freedPerSecond;
+        addTo(scheduler.told[service], settings.shareSpan,
+              pace * std::chrono::duration<double>(span).count(), now);
+    }
+}
+
+double shareFor(const SchedulerState &scheduler, const std::string &service, std::uint32_t priority,
+                Time now)
+{
+    const double alike = 1.0 / std::max(1U, scheduler.entries);
+    const auto freed = scheduler.freed.find(service);
+    const auto all = scheduler.told.find(service);
+    if (freed == scheduler.freed.end() || all == scheduler.told.end())
+        return alike;
+    const Milliseconds span = scheduler.settings.shareSpan;
+    const double told = fadedAmount(all->second, span, now);
+    double own = 0;
+    for (const auto &[other, sum] : freed->second.own) {
+        if (other >= priority || !goesByPriority(scheduler))
+            own += fadedAmount(sum, span, now);
+    }
+    return told > 0 ? std::clamp(own / told, LeastShare, 1.0) : alike;
+}
+
+double wholeShare(const SchedulerState &scheduler, const std::string &service, Time now)
+{
+    return shareFor(scheduler, service, 0, now);
+}
+
+// [SECTION] Waits
+
+namespace {
+
+std::int64_t roomWanted(const Job &job)
+{
+    // Declared rooms can be absurd: sums of such ones must not overflow.
+    constexpr double MostMilliCores = 1e12;
+    // A job that comes has no tasks yet.
+    const jobs::StepSpec &step = job.spec.steps.front();
+    const std::uint32_t tasks = job.tasks.empty() ? step.tasks : job.waiting;
+    return static_cast<std::int64_t>(
+            std::min(MostMilliCores, static_cast<double>(step.room.milliCores) * tasks));
+}
+
+forecast::Wanted wantedBy(const Job &job, std::int64_t before)
+{
+    return { job.terms.priority, job.spec.steps.front().room.milliCores, roomWanted(job), before };
+}
+
+std::int64_t workBefore(const SchedulerState &scheduler, const Job &wanted, const QueueKey &place)
+{
+    std::int64_t work = 0;
+    for (const QueueKey &key : scheduler.queue) {
+        if (!(key < place))
+            break;
+        const Job &job = scheduler.jobs.at(key.number);
+        if (job.terms.service == wanted.terms.service)
+            work += roomWanted(job);
+    }
+    return work;
+}
+
+} // namespace
+
+std::optional<Milliseconds> waitOnTime(const SchedulerState &scheduler, const Job &job, Time now)
+{
+    if (job.spec.steps.empty())
+        return std::nullopt;
+    forecast::Picture picture = pictureOf(scheduler, job.terms.service, now);
+    picture.share = shareFor(scheduler, job.terms.service, job.terms.priority, now);
+    const forecast::Wanted wanted = wantedBy(job,
+                                             workBefore(scheduler, job, keyOf(scheduler, job)));
+    // The next in turn is tried whatever its own size.
+    if (!forecast::hasWorkBefore(picture, wanted))
+        return Milliseconds(0);
+    return forecast::expectedWait(picture, wanted);
+}
+
+std::optional<Milliseconds> waitLate(const SchedulerState &scheduler, const Job &job, Time now)
+{
+    if (job.spec.steps.empty())
+        return std::nullopt;
+    forecast::Picture picture = pictureOf(scheduler, job.terms.service, now);
+    picture.share = wholeShare(scheduler, job.terms.service, now);
+    QueueKey place = keyOf(scheduler, job);
+    place.group = Rank::Late;
+    place.rank = job.lateUntil.time_since_epoch().count();
+    return forecast::expectedWait(picture, wantedBy(job, workBefore(scheduler, job, place)));
+}
+
+Milliseconds comeBackAfter(SchedulerState &scheduler, const Job &job, Time now)
+{
+    std::uniform_real_distribution<double> chance(0, 1);
+    const double drawn = chance(scheduler.random);
+    if (job.spec.steps.empty())
+        return forecast::LeastComeBack;
+    forecast::Picture picture = pictureOf(scheduler, job.terms.service, now);
+    picture.share = shareFor(scheduler, job.terms.service, job.terms.priority, now);
+    const std::int64_t before = workBefore(scheduler, job, keyOf(scheduler, job));
+    return forecast::comeBackAfter(picture, wantedBy(job, before), drawn);
+}
+
+Outlook outlook(const SchedulerState &scheduler, Time now)
+{
+    constexpr std::int64_t OneCore = 1000;
+    Outlook all;
+    for (const std::string &service : services(scheduler)) {
+        forecast::Picture picture = pictureOf(scheduler, service, now);
+        picture.share = wholeShare(scheduler, service, now);
+        forecast::Wanted wanted { scheduler.leastUrgent, OneCore, OneCore, 0 };
+        for (const QueueKey &key : scheduler.queue) {
+            const Job &job = scheduler.jobs.at(key.number);
+            wanted.beforeIt += job.terms.service == service ? roomWanted(job) : 0;
+        }
+        all.age = std::max(all.age, picture.age);
+        const auto wait = forecast::expectedWait(picture, wanted);
+        all.wait = wait ? std::max(*wait, all.wait.value_or(Milliseconds(0))) : all.wait;
+    }
+    all.waitingLate = static_cast<std::size_t>(
+            std::count_if(scheduler.queue.begin(), scheduler.queue.end(),
+                          [](const QueueKey &key) { return key.group == Rank::Late; }));
+    return all;
+}
+
+// [SECTION] Late jobs
+
+namespace {
+
+// One service, with the work that goes before the job that is looked at.
+struct Line
+{
+    forecast::Picture picture;
+    std::int64_t before = 0;
+};
+
+bool beginsInTime(const Line &line, const Job &job, Time now)
+{
+    const auto wait = forecast::expectedWait(line.picture, wantedBy(job, line.before));
+    return wait && now + *wait <= job.lateUntil;
+}
+
+} // namespace
+
+std::set<std::uint64_t> worthWaiting(SchedulerState &scheduler, Time now)
+{
+    std::set<std::uint64_t> kept;
+    if (!scheduler.settings.serveLate)
+        return kept;
+    std::map<std::string, Line> lines;
+    for (const QueueKey &key : sortOut(scheduler, now)) {
+        const Job &job = scheduler.jobs.at(key.number);
+        const std::string &service = job.terms.service;
+        const auto [line, isNew] = lines.try_emplace(service);
+        if (isNew) {
+            line->second.picture = pictureOf(scheduler, service, now);
+            line->second.picture.share = wholeShare(scheduler, service, now);
+        }
+        if (key.group == Rank::Late && !beginsInTime(line->second, job, now))
+            continue;
+        if (key.group == Rank::Late)
+            kept.insert(key.number);
+        line->second.before += roomWanted(job);
+    }
+    return kept;
+}
+
+bool fitsWhole(const SchedulerState &scheduler, const Job &job, Time now)
+{
+    forecast::Picture picture;
+    for (const auto &[name, agent] : scheduler.agents) {
+        if (takesWork(scheduler, agent, job.terms.service))
+            forecast::addAgent(picture,
+                               { roomFor(scheduler, agent, job).milliCores, {}, 0, agent.heardAt },
+                               now);
+    }
+    return forecast::expectedWait(picture, wantedBy(job, 0)) == Milliseconds(0);
+}
+
+} // namespace foxwing::scheduler
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -21,6 +21,16 @@
     return room;
 }
 
+jobs::Room roomFor(const SchedulerState &scheduler, const Agent &agent, const Job &job)
+{
+    jobs::Room room = roomAt(agent);
+    if (scheduler.settings.serveLate && job.group == Rank::Late) {
+        const std::int64_t rested = std::min(agent.leastFree, agent.leastFreeBefore);
+        room.milliCores -= agent.endpoint.free.milliCores - rested;
+    }
+    return room;
+}
+
 bool isCordoned(const SchedulerState &scheduler, const Agent &agent)
 {
     return catalog::isCordoned(scheduler.cordons, agent.endpoint.dataCentre);
@@ -152,7 +162,7 @@
     bool bestAvoided = false;
     for (auto &[id, agent] : agents) {
         ++scheduler.counters.endpointsTried;
-        const jobs::Room free = roomAt(agent);
+        const jobs::Room free = roomFor(scheduler, agent, job);
         if (!jobs::fits(step.room, free) || !mayTakeTask(scheduler, agent, job, task, id))
             continue;
         const bool avoided = isAvoided(task, id) || isQuiet(scheduler, agent, now);
@@ -213,10 +223,11 @@
     const bool all = scheduler.settings.waitingQueues == WaitingQueues::AllButLeast;
     const bool first = job.terms.priority < scheduler.leastUrgent
             && (all || job.terms.priority <= scheduler.mostUrgent);
-    // What is late and has not begun is refused at the next tick.
+    // What is late and has not begun is refused at the next tick, or waits on behind the rest.
     const bool late = scheduler.settings.refuseLate && now > job.onTimeUntil
             && certainlyNotBegun(job);
-    if (scheduler.settings.waitPercent <= 0 || !first || late)
+    const bool beganLate = scheduler.settings.serveLate && job.firstPlacedAt > job.onTimeUntil;
+    if (scheduler.settings.waitPercent <= 0 || !first || late || beganLate)
         return Milliseconds(0);
     constexpr Milliseconds Least { 10 };
     const auto slack = std::chrono::duration_cast<Milliseconds>(job.latestBegin - now);
@@ -281,23 +292,49 @@
     }
 }
 
+// Jobs that found no room while work was placed.
+struct PassedOver
+{
+    std::size_t others = 0;
+
+    // Late jobs that wait on
+    std::size_t late = 0;
+};
+
+// A late job that waits on takes no room while others wait for it that can be on time, and begins
+// only as a whole: begun in part, it would go before them.
+bool isKeptBack(const SchedulerState &scheduler, const Job &job, const PassedOver &passedOver,
+                Time now)
+{
+    return passedOver.others > 0 || !fitsWhole(scheduler, job, now);
+}
+
+bool waitsOn(const SchedulerState &scheduler, const Job &job)
+{
+    return scheduler.settings.serveLate && job.group == Rank::Late;
+}
+
 void placeAmong(SchedulerState &scheduler, const AgentRange &agents, Time now,
                 SchedulerActions &actions)
 {
-    std::size_t passedOver = 0;
+    PassedOver passedOver;
     for (const QueueKey &key : sortOut(scheduler, now)) {
-        if (passedOver >= scheduler.settings.mostPassedOver)
+        if (passedOver.others + passedOver.late >= scheduler.settings.mostPassedOver)
             break;
         Job &job = scheduler.jobs.at(key.number);
         if (!hasReadyTask(job))
             continue;
+        if (waitsOn(scheduler, job) && isKeptBack(scheduler, job, passedOver, now)) {
+            ++passedOver.late;
+            continue;
+        }
         dequeue(scheduler, job);
         if (!placeJob(scheduler, agents, job, now, actions))
-            ++passedOver;
+            ++passedOver.others;
         enqueue(scheduler, job);
     }
     scheduler.untried = false;
-    if (passedOver > 0)
+    if (passedOver.others + passedOver.late > 0)
         wantRoom(scheduler, now, actions);
 }
 
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -158,6 +158,17 @@
 
 namespace {
 
+void noteLeastFree(const SchedulerSettings &settings, Agent &agent, Time now)
+{
+    const std::int64_t free = agent.endpoint.free.milliCores;
+    if (now >= agent.leastFreeSince + settings.restSpan) {
+        agent.leastFreeBefore = agent.leastFree;
+        agent.leastFree = free;
+        agent.leastFreeSince = now;
+    }
+    agent.leastFree = std::min(agent.leastFree, free);
+}
+
 // Takes over what the agent tells of its room.
 void takeRoom(Agent &agent, const jobs::AgentUpdate &update)
 {
@@ -167,6 +178,8 @@
     agent.endpoint.mostStarts = update.mostStarts;
     agent.endpoint.paceMille = update.paceMille;
     agent.endpoint.leaving = update.leaving;
+    agent.waiting = update.waiting;
+    agent.freedPerSecond = update.freedPerSecond;
     agent.startsTaken = std::max(agent.startsTaken, update.startsTaken);
     const auto taken = [&](const Agent::Pending &pending) {
         return pending.number <= agent.startsTaken;
@@ -196,6 +209,7 @@
     const jobs::Room roomBefore = roomAt(agent);
     const std::uint32_t startsBefore = agent.endpoint.mostStarts;
     takeRoom(agent, update);
+    noteLeastFree(scheduler.settings, agent, now);
     for (const jobs::RunReport &report : update.ended)
         runEnded(scheduler, name, report, now, actions);
     for (const jobs::LagReport &report : update.lagging)
@@ -336,12 +350,13 @@
 void giveUpLate(SchedulerState &scheduler, Time now, SchedulerActions &actions)
 {
     std::vector<std::uint64_t> over;
+    const std::set<std::uint64_t> waitOn = worthWaiting(scheduler, now);
     for (const auto &[number, job] : scheduler.jobs) {
         const Time worth = scheduler.settings.refuseLate ? job.onTimeUntil : job.worthUntil;
-        const bool hopeless = certainlyNotBegun(job) && now > worth;
-        const bool unbegun = certainlyNotBegun(job) && now >= job.terms.beginBy;
+        const bool late = now > worth && waitOn.count(number) == 0;
+        const bool unbegun = certainlyNotBegun(job) && (late || now >= job.terms.beginBy);
         const bool unwanted = now >= endOfJob(scheduler, job);
-        if (!job.over && (unbegun || unwanted || hopeless))
+        if (!job.over && (unbegun || unwanted))
             over.push_back(number);
     }
     for (const std::uint64_t number : over) {
@@ -359,6 +374,7 @@
     SchedulerActions actions;
     beatAgents(scheduler, now, actions);
     freeCertain(scheduler, now);
+    addTold(scheduler, now);
     giveUpLate(scheduler, now, actions);
     place(scheduler, now, actions);
     return actions;
--- a/packages/scheduler/tests/placing_test.cpp
+++ b/packages/scheduler/tests/placing_test.cpp
@@ -128,9 +128,9 @@
         const std::string agent = bench.scheduler.jobs.begin()->second.tasks[index].agent;
         bench.report(agent, { endOf("job", index, 1, RunEnd::Done) });
     }
-    const double before = bench.scheduler.freed.begin()->second.milliCores;
+    const double before = bench.scheduler.freed.begin()->second.ofLate.amount;
     bench.cordon(1, { "north" });
-    EXPECT_NEAR(bench.scheduler.freed.begin()->second.milliCores, before / 3, 1);
+    EXPECT_NEAR(bench.scheduler.freed.begin()->second.ofLate.amount, before / 3, 1);
 }
 
 TEST(SchedulerPlacing, KeepsTheLimitOfTasksOnOneEndpoint)
