--- a/tests/rig/main.cpp
+++ b/tests/rig/main.cpp
@@ -25,6 +25,11 @@
     std::function<void(RigSettings &)> change;
 };
 
+void serveLate(RigSettings &settings)
+{
+    settings.scheduler.serveLate = true;
+}
+
 std::vector<Way> ways()
 {
     using foxwing::scheduler::Order;
@@ -35,6 +40,23 @@
               s.scheduler.waitingQueues = foxwing::scheduler::WaitingQueues::AllButLeast;
           } },
         { "late jobs wait on", [](RigSettings &s) { s.scheduler.refuseLate = false; } },
+        { "forecast", [](RigSettings &s) { s.scheduler.forecast = true; } },
+        { "forecast at 100 percent",
+          [](RigSettings &s) {
+              s.scheduler.forecast = true;
+              s.scheduler.refuseAtArrivalPercent = 100;
+          } },
+        { "forecast at 400 percent",
+          [](RigSettings &s) {
+              s.scheduler.forecast = true;
+              s.scheduler.refuseAtArrivalPercent = 400;
+          } },
+        { "late jobs are served behind the rest", serveLate },
+        { "late jobs are served behind the rest, all but the least urgent queue wait at agents",
+          [](RigSettings &s) {
+              serveLate(s);
+              s.scheduler.waitingQueues = foxwing::scheduler::WaitingQueues::AllButLeast;
+          } },
         { "nothing waits at agents", [](RigSettings &s) { s.scheduler.waitPercent = 0; } },
         { "endpoints are not judged", [](RigSettings &s) { s.runner.judgeEndpoint = false; } },
         { "any endpoint",
@@ -61,10 +83,12 @@
         RigSettings settings = spell(seed);
         way.change(settings);
         const RigReport one = foxwing::test::play(settings);
+        const double wrong = foxwing::test::wronglyRefusedPercent(settings, one);
         const auto part = 1.0 / static_cast<double>(seeds);
         sum.creditPercent += part * one.creditPercent;
         sum.servedPercent += part * one.servedPercent;
         sum.refusedAtOncePercent += part * one.refusedAtOncePercent;
+        sum.wronglyRefusedPercent += part * wrong;
         sum.startsPerTask += part * one.startsPerTask;
         sum.idleWhileWaiting += part * one.idleWhileWaiting;
         sum.refusedWithRoom += one.refusedWithRoom;
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -25,6 +25,9 @@
 namespace {
 
 constexpr Milliseconds TickInterval { 20 };
+
+// A refusal that comes so soon cost its caller nothing.
+constexpr Milliseconds AtOnce { 5 };
 constexpr Milliseconds BeatInterval { 1500 };
 constexpr Microseconds OrderDelay { 300 };
 constexpr Milliseconds LookTimeout { 25 };
@@ -200,7 +203,6 @@
 // Shares over all queues
 void sumUp(RigReport &report)
 {
-    constexpr Milliseconds AtOnce { 5 };
     double asked = 0;
     double served = 0;
     double refused = 0;
@@ -397,12 +399,15 @@
     switch (answer.outcome) {
     case scheduler::JobOutcome::Completed:
         ++(onTime ? report.inAim : report.late);
+        m_report.completed.insert(call.spec.id);
         report.largeInAim += onTime && call.size > LargeSize ? 1 : 0;
         m_earned += onTime ? credit(call) : credit(call) / 5;
         break;
     case scheduler::JobOutcome::NotRun:
         ++report.refused;
         report.refusedAfter.push_back(took);
+        if (took <= AtOnce)
+            m_report.refusedAtOnce.insert(call.spec.id);
         m_report.refusedWithRoom += hasRoomSomewhere(call.spec.steps[0].room) ? 1 : 0;
         break;
     case scheduler::JobOutcome::Failed:
@@ -667,17 +672,33 @@
     return Rig(settings).play();
 }
 
+double wronglyRefusedPercent(const RigSettings &settings, const RigReport &report)
+{
+    RigSettings other = settings;
+    other.scheduler.refuseAtArrivalPercent = 0;
+    other.scheduler.refuseAbove = 1e6;
+    const std::set<std::string> completed = play(other).completed;
+    const auto wrong = std::count_if(report.refusedAtOnce.begin(), report.refusedAtOnce.end(),
+                                     [&](const std::string &id) {
+                                         return completed.count(id) != 0;
+                                     });
+    return percentOf(static_cast<std::uint64_t>(wrong), report.refusedAtOnce.size());
+}
+
 std::string table(const std::vector<std::pair<std::string, RigReport>> &rows)
 {
-    std::string text = "| way | credit | served | refused within 5 ms | starts a task | refused "
-                       "with room | idle while jobs wait |"
-                       " by queue: in aim, of the largest tenth, late, refused, failed, refused"
-                       " after (median) |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n";
+    std::string text =
+            "| way | credit | served | refused within 5 ms | of these wrongly | starts a task | "
+            "refused "
+            "with room | idle while jobs wait |"
+            " by queue: in aim, of the largest tenth, late, refused, failed, refused"
+            " after (median) |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
     char line[256];
     for (const auto &[name, report] : rows) {
         std::snprintf(line, sizeof line,
-                      "| %s | %.2f %% | %.2f %% | %.0f %% | %.2f | %llu | %.1f %% |", name.c_str(),
-                      report.creditPercent, report.servedPercent, report.refusedAtOncePercent,
+                      "| %s | %.2f %% | %.2f %% | %.0f %% | %.1f %% | %.2f | %llu | %.1f %% |",
+                      name.c_str(), report.creditPercent, report.servedPercent,
+                      report.refusedAtOncePercent, report.wronglyRefusedPercent,
                       report.startsPerTask, static_cast<unsigned long long>(report.refusedWithRoom),
                       report.idleWhileWaiting);
         text += line;
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 #include <foxwing/runner/runner.h>
 #include <foxwing/scheduler/scheduler.h>
@@ -153,12 +154,19 @@
     // Refusals that came within 5 ms, in percent of all refusals
     double refusedAtOncePercent = 0;
 
+    // Of these, those that hindsight shows as wrong, if that was asked for
+    double wronglyRefusedPercent = 0;
+
     // Starts that were ordered for each task, refused ones included
     double startsPerTask = 0;
 
     // Refusals when an endpoint that could run a task of the job had room for it
     std::uint64_t refusedWithRoom = 0;
 
+    // Calls that were refused within 5 ms, and those that were completed in time or late
+    std::set<std::string> refusedAtOnce;
+    std::set<std::string> completed;
+
     // Room of sound endpoints that stood idle while jobs waited, in percent
     double idleWhileWaiting = 0;
 };
@@ -167,6 +175,10 @@
 
 RigReport play(const RigSettings &settings);
 
+// Of the calls that were refused at once, how many are completed in the same load if none is
+// refused at arrival, in percent.
+double wronglyRefusedPercent(const RigSettings &settings, const RigReport &report);
+
 // Load that is above the room for 4 s, with endpoints that fail and others out of reach.
 RigSettings busySpell(std::uint64_t seed);
 
--- a/tests/rig/rig_test.cpp
+++ b/tests/rig/rig_test.cpp
@@ -4,6 +4,7 @@
     [SECTION] Helpers
     [SECTION] Replay
     [SECTION] Mechanisms
+    [SECTION] Forecast
     [SECTION] Cordons
 */
 #include <functional>
@@ -87,6 +88,73 @@
                                         0.5 }),
         [](const auto &tested) { return tested.param.name; });
 
+// [SECTION] Forecast
+
+struct SpellCase
+{
+    const char *name;
+    RigSettings (*spell)(std::uint64_t);
+};
+
+std::ostream &operator<<(std::ostream &out, const SpellCase &tested)
+{
+    return out << tested.name;
+}
+
+class Forecasts : public testing::TestWithParam<SpellCase>
+{ };
+
+struct Sums
+{
+    double credit = 0;
+    double served = 0;
+    double refusedAtOnce = 0;
+};
+
+// Means of all seeds, in percent.
+Sums sumsOf(RigSettings (*spell)(std::uint64_t), const std::function<void(RigSettings &)> &change)
+{
+    Sums sums;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        RigSettings settings = spell(seed);
+        change(settings);
+        const RigReport report = play(settings);
+        sums.credit += report.creditPercent / Seeds;
+        sums.served += report.servedPercent / Seeds;
+        sums.refusedAtOnce += report.refusedAtOncePercent / Seeds;
+    }
+    return sums;
+}
+
+// What can't be on time is told so at once, and more callers are served for it.
+TEST_P(Forecasts, RefuseAtOnceAndServeMore)
+{
+    const Sums without = sumsOf(GetParam().spell, asItStands);
+    const Sums with = sumsOf(GetParam().spell, [](RigSettings &settings) {
+        settings.scheduler.forecast = true;
+        settings.scheduler.refuseAtArrivalPercent = 100;
+    });
+    EXPECT_GE(with.refusedAtOnce, 50);
+    EXPECT_GT(with.served, without.served);
+}
+
+// Late jobs are served in room that the rest leaves free: no credit of the rest is lost beyond what
+// one seed differs from another.
+TEST_P(Forecasts, ServeLateJobsBehindTheRest)
+{
+    constexpr double SeedNoise = 0.5;
+    const Sums without = sumsOf(GetParam().spell, asItStands);
+    const Sums with = sumsOf(GetParam().spell,
+                             [](RigSettings &settings) { settings.scheduler.serveLate = true; });
+    EXPECT_GT(with.served, without.served + 1);
+    EXPECT_GT(with.credit, without.credit - SeedNoise);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rig, Forecasts,
+                         testing::Values(SpellCase { "Competing", competingQueues },
+                                         SpellCase { "Busy", busySpell }),
+                         [](const auto &tested) { return tested.param.name; });
+
 // [SECTION] Cordons
 
 // A third of the endpoints goes and comes back at the usual load: the rest carries it.
