Entry: settings and metrics of the forecast

Cause: operators have to switch it on and see it act.

Change: [policy] forecast and serve_late; foxwing_expected_wait_ms, foxwing_picture_age_ms, foxwing_jobs_waiting_late, foxwing_jobs_served_late_total.

--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -459,6 +459,8 @@
         { "foxwing_jobs_refused_total", "Jobs answered as not run", count(counters.refused) },
         { "foxwing_jobs_timed_out_total", "Jobs given up after they began",
           count(counters.timedOut) },
+        { "foxwing_jobs_served_late_total", "Jobs completed that began too late to be on time",
+          count(counters.servedLate) },
         { "foxwing_jobs_abandoned_total", "Jobs whose caller went", count(counters.abandoned) },
         { "foxwing_starts_total", "Starts sent to agents", count(counters.starts) },
         { "foxwing_starts_refused_total", "Starts that never began",
@@ -479,6 +481,13 @@
     };
     gauge("foxwing_jobs_open", "Jobs not answered yet", scheduler::openJobs(m_scheduler));
     gauge("foxwing_jobs_waiting", "Jobs with tasks that wait", m_scheduler.queue.size());
+    const scheduler::Outlook outlook = scheduler::outlook(m_scheduler, steadyNow());
+    gauge("foxwing_jobs_waiting_late", "Jobs that wait and can't be on time", outlook.waitingLate);
+    if (outlook.wait)
+        gauge("foxwing_expected_wait_ms", "Wait of a job that comes now, behind all others",
+              static_cast<std::size_t>(outlook.wait->count()));
+    samples.push_back({ "foxwing_picture_age_ms", "Age of the oldest news in the forecast",
+                        toMilliseconds(outlook.age), true });
     gauge("foxwing_agents", "Agents in touch", m_scheduler.agents.size());
     gauge("foxwing_agents_listed", "Agents that control hosts list",
           m_agents.subset().agents.size());
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -127,6 +127,8 @@
     table.number("far_factor", policy.farFactor, 1, 100);
     table.whole("away_percent", policy.awayPercent, 0, 1000);
     table.flag("refuse_late", policy.refuseLate);
+    table.flag("serve_late", policy.serveLate);
+    table.flag("forecast", policy.forecast);
     table.whole("refuse_at_arrival_percent", policy.refuseAtArrivalPercent, 0, 1000);
     table.whole("wait_percent", policy.waitPercent, 0, 100);
     table.flag("learn_run_times", policy.learnRunTimes);
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -39,6 +39,8 @@
 order = "latest-begin"
 margin_percent = 20
 refuse_late = false
+serve_late = true
+forecast = true
 refuse_above = 1.5
 refuse_at_arrival_percent = 150
 wait_percent = 0
@@ -72,6 +74,8 @@
     EXPECT_EQ(settings->scheduler.order, scheduler::Order::LatestBegin);
     EXPECT_EQ(settings->scheduler.marginPercent, 20U);
     EXPECT_FALSE(settings->scheduler.refuseLate);
+    EXPECT_TRUE(settings->scheduler.serveLate);
+    EXPECT_TRUE(settings->scheduler.forecast);
     EXPECT_EQ(settings->scheduler.refuseAtArrivalPercent, 150U);
     EXPECT_EQ(settings->scheduler.waitPercent, 0);
     EXPECT_EQ(settings->scheduler.placement, scheduler::Placement::MostRoom);
