--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -75,6 +75,7 @@
     // abandoned.
     void seeCallers(Time now);
     void seeCallersOf(std::uint64_t number);
+    bool isFoundGone(const ExchangePtr &exchange, const std::string &job);
     bool ready() const;
 
     // Agents
@@ -222,6 +223,22 @@
     refuse(exchange, CallerRefusal::BadRequest, "this is no call of the interface");
 }
 
+namespace {
+
+scheduler::JobTerms makeTerms(const catalog::QueueDeclaration &queue)
+{
+    scheduler::JobTerms terms;
+    terms.queue = queue.name;
+    terms.service = queue.service;
+    terms.priority = queue.priority;
+    terms.attempts = queue.attempts;
+    terms.stretch = std::clamp(queue.stretch, 0.0, MostStretch);
+    terms.targetLatency = queue.targetLatency;
+    return terms;
+}
+
+} // namespace
+
 void EntryShell::submit(const ExchangePtr &exchange, const CallerCall &call,
                         const catalog::QueueDeclaration &queue, std::optional<Time> heldSince)
 {
@@ -233,21 +250,12 @@
         return refuse(exchange, CallerRefusal::BadRequest, reason.message);
     }
     // What was held up on its way may have been given up meanwhile, and be sent again.
-    if (!exchange->callerIsThere()) {
-        ++m_callersFoundGone;
-        writeEvent(m_core.log, Event("caller-found-gone").with("request", spec->id));
+    if (isFoundGone(exchange, spec->id))
         return;
-    }
     const Time now = steadyNow();
     seeCallers(now);
-    scheduler::JobTerms terms;
-    terms.queue = queue.name;
-    terms.service = queue.service;
-    terms.priority = queue.priority;
-    terms.attempts = queue.attempts;
-    terms.stretch = std::clamp(queue.stretch, 0.0, MostStretch);
-    terms.targetLatency = queue.targetLatency;
     const Time cameAt = heldSince.value_or(now);
+    scheduler::JobTerms terms = makeTerms(queue);
     terms.cameAt = heldSince;
     terms.beginBy = cameAt + queue.timeout;
     if (call.patience)
@@ -288,6 +296,15 @@
         seeCallersOf(number);
 }
 
+bool EntryShell::isFoundGone(const ExchangePtr &exchange, const std::string &job)
+{
+    if (exchange->callerIsThere())
+        return false;
+    ++m_callersFoundGone;
+    writeEvent(m_core.log, Event("caller-found-gone").with("request", job));
+    return true;
+}
+
 void EntryShell::seeCallersOf(std::uint64_t number)
 {
     const auto found = m_waiting.find(number);
@@ -295,12 +312,8 @@
         return;
     const std::vector<ExchangePtr> waiting = found->second;
     for (const ExchangePtr &exchange : waiting) {
-        if (exchange->callerIsThere())
-            continue;
-        ++m_callersFoundGone;
-        writeEvent(m_core.log,
-                   Event("caller-found-gone").with("request", m_scheduler.jobs.at(number).spec.id));
-        callerGone(number, exchange);
+        if (isFoundGone(exchange, m_scheduler.jobs.at(number).spec.id))
+            callerGone(number, exchange);
     }
 }
 
