Tasks that crash their endpoints are told to all entries by the agents

Change: an agent remembers the tasks under which its endpoint crashed (60 s, 256 tasks), and tells each session: all in Welcome, what is new in the next AgentUpdate. Entries keep the highest count of each agent and add up over agents (60 s, 1,024 jobs): three end a job wherever it ran, one or two go with it. Welcome and AgentUpdate have a field more at their end.

Open: entries whose subset leaves an agent out do not hear of its crashes.

Ruled out: the agreed state (a write of the quorum for each crash), the refusal of a start (tasks avoid the agent that saw it), showing the job as failed (three crashes do come under innocent tasks).

--- a/packages/jobs/include/foxwing/jobs/messages.h
+++ b/packages/jobs/include/foxwing/jobs/messages.h
@@ -230,17 +230,34 @@
     fields("milliCores", waiting.milliCores);
 }
 
+// How often the agent's endpoint crashed while it ran the task, as far as the agent remembers.
+struct CrashReport
+{
+    TaskId task;
+    std::uint32_t crashes = 0;
+};
+template<class Fields>
+void describe(Fields &fields, CrashReport &report)
+{
+    fields("task", report.task);
+    fields("crashes", report.crashes);
+}
+
 struct Welcome
 {
     // One life of the agent
     std::uint64_t incarnation = 0;
     EndpointView endpoint;
+
+    // All that it remembers
+    std::vector<CrashReport> crashed;
 };
 template<class Fields>
 void describe(Fields &fields, Welcome &welcome)
 {
     fields("incarnation", welcome.incarnation);
     fields("endpoint", welcome.endpoint);
+    fields("crashed", welcome.crashed);
 }
 
 // What changed. Everything that happened before free was worked out is in it.
@@ -266,6 +283,9 @@
 
     // Set if it changed since the last update.
     std::vector<EndpointView> endpoint;
+
+    // What changed since the last update
+    std::vector<CrashReport> crashed;
 };
 template<class Fields>
 void describe(Fields &fields, AgentUpdate &update)
@@ -281,6 +301,7 @@
     fields("ended", update.ended);
     fields("lagging", update.lagging);
     fields("endpoint", update.endpoint);
+    fields("crashed", update.crashed);
 }
 
 } // namespace foxwing::jobs
--- a/packages/runner/include/foxwing/runner/runner.h
+++ b/packages/runner/include/foxwing/runner/runner.h
@@ -123,6 +123,11 @@
     // heartbeat can be held up on its way.
     std::size_t mostFormerLives = 16;
 
+    // Tasks under which the endpoint crashed are remembered for so long, and so many: above what
+    // entries remember of a job, and what runs in some crashes of a full endpoint.
+    Milliseconds crashesRememberedFor { 60000 };
+    std::size_t mostCrashedTasks = 256;
+
     // Log lines a second about heartbeats that change nothing. Endpoints send one in 1.5 s.
     std::uint32_t passedOverLines = 5;
 
@@ -340,6 +345,20 @@
     std::uint64_t toldView = 0;
     std::vector<jobs::RunReport> ended;
     std::vector<jobs::LagReport> lagging;
+
+    // The last crash under a task that it was told of
+    std::uint64_t toldCrash = 0;
+};
+
+// A task that ran when the endpoint crashed.
+struct CrashedTask
+{
+    jobs::TaskId task;
+    std::uint32_t crashes = 0;
+
+    // The last of them, and its place among all
+    Time at {};
+    std::uint64_t number = 0;
 };
 
 // Who tells an agent of the cordons.
@@ -407,6 +426,10 @@
     std::uint64_t viewNumber = 1;
     bool stopping = false;
 
+    // Tasks under which the endpoint crashed in any of its lives, the last one at the end
+    std::deque<CrashedTask> crashed;
+    std::uint64_t lastCrash = 0;
+
     // Cordons, the newest that were heard; nothing starts before they are known.
     catalog::Cordons cordons;
     bool cordonsKnown = false;
--- a/packages/runner/src/internal.h
+++ b/packages/runner/src/internal.h
@@ -5,6 +5,7 @@
     [SECTION] Waiting
     [SECTION] Sessions
     [SECTION] Runs
+    [SECTION] Crashes
     [SECTION] Lives
     [SECTION] Judgement
 */
@@ -76,6 +77,15 @@
 std::optional<Milliseconds> leaseDeadline(const RunnerState &runner, Time now);
 void takeClock(RunnerState &runner, const Answered &answered, Time now);
 
+// [SECTION] Crashes
+
+// The endpoint crashed while it ran the task.
+void noteCrash(RunnerState &runner, const jobs::TaskId &task, Time now);
+
+// What is remembered of the crashes that came after this one.
+std::vector<jobs::CrashReport> crashesAfter(const RunnerState &runner, std::uint64_t number,
+                                            Time now);
+
 // [SECTION] Lives
 
 // A life's date for a log line, in milliseconds since 1970; 0 if the endpoint did not say.
--- a/packages/runner/src/offer.cpp
+++ b/packages/runner/src/offer.cpp
@@ -113,6 +113,8 @@
     jobs::Welcome message;
     message.incarnation = runner.incarnation;
     message.endpoint = viewOf(runner, now);
+    message.crashed = crashesAfter(runner, 0, now);
+    session.toldCrash = runner.lastCrash;
     session.toldFree = message.endpoint.free;
     session.toldMostStarts = message.endpoint.mostStarts;
     session.toldLeaving = message.endpoint.leaving;
@@ -136,7 +138,8 @@
                std::uint32_t most, Time now)
 {
     const bool leaving = runner.endpoint.leaving || runner.stopping;
-    if (session.dirty || session.toldView != runner.viewNumber || leaving != session.toldLeaving
+    if (session.dirty || session.toldCrash != runner.lastCrash
+        || session.toldView != runner.viewNumber || leaving != session.toldLeaving
         || most != session.toldMostStarts)
         return true;
     if (session.refusedRoom && free.milliCores > session.toldFree.milliCores)
@@ -161,6 +164,8 @@
     update.lagging.swap(session.lagging);
     if (session.toldView != runner.viewNumber)
         update.endpoint.push_back(viewOf(runner, now));
+    update.crashed = crashesAfter(runner, session.toldCrash, now);
+    session.toldCrash = runner.lastCrash;
     session.toldView = runner.viewNumber;
     session.toldBeat = session.beat;
     session.toldStarts = session.startsTaken;
--- a/packages/runner/src/runner.cpp
+++ b/packages/runner/src/runner.cpp
@@ -96,6 +96,8 @@
     const Run run = found->second;
     runner.runs.erase(found);
     countEnd(runner, end);
+    if (end == RunEnd::Crashed)
+        noteCrash(runner, id.task, now);
     const bool began = run.startedAt != Time {};
     const auto took = std::chrono::duration_cast<Milliseconds>(began ? now - run.startedAt
                                                                      : Microseconds(0));
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -155,6 +155,10 @@
     // those who wait for it.
     Milliseconds crashingFor { 60000 };
 
+    // Jobs whose crashes are remembered as agents tell them: more than run on some endpoints that
+    // crash, within that time.
+    std::size_t mostCrashedJobs = 1024;
+
     // Work that has begun is finished, late too, but not beyond this: the longest task that the
     // users name runs for several seconds.
     Milliseconds longestJob { 15000 };
@@ -359,6 +363,16 @@
     Time at {};
 };
 
+// What agents tell of a job under whose tasks their endpoints crashed, here or for another entry.
+struct CrashedJob
+{
+    // By task, and by the agent that saw them
+    std::map<jobs::TaskId, std::map<std::string, std::uint32_t>> crashes;
+
+    // When it is forgotten, unless there is more news
+    Time until {};
+};
+
 struct SchedulerCounters
 {
     std::uint64_t submitted = 0;
@@ -394,6 +408,9 @@
     // Jobs that were given up since endpoints crashed under them, and until when that is remembered
     std::map<std::string, Time> crashing;
 
+    // By job
+    std::map<std::string, CrashedJob> crashedJobs;
+
     // Some waiting work was not looked at yet with the room as it is.
     bool untried = false;
 
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -67,7 +67,7 @@
                                    : estimate;
 }
 
-void addTasks(Job &job)
+void addTasks(const SchedulerState &scheduler, Job &job)
 {
     const jobs::JobSpec &spec = job.spec;
     job.longestRun.resize(spec.steps.size(), Milliseconds(0));
@@ -78,6 +78,7 @@
             task.step = step;
             task.index = index;
             task.expected = expectedOf(job, spec.steps[step].estimate);
+            task.crashes = crashesOf(scheduler, { spec.id, 0, step, index });
             job.tasks.push_back(task);
         }
     }
@@ -177,14 +178,6 @@
     return "";
 }
 
-// Whether the job was given up of late since endpoints crashed under it. Forgets who is past that.
-bool isCrashing(SchedulerState &scheduler, const std::string &id, Time now)
-{
-    for (auto item = scheduler.crashing.begin(); item != scheduler.crashing.end();)
-        item = now >= item->second ? scheduler.crashing.erase(item) : std::next(item);
-    return scheduler.crashing.count(id) != 0;
-}
-
 void refuse(SchedulerState &scheduler, Job &job, JobOutcome outcome, const std::string &why,
             Time now, SchedulerActions &actions)
 {
@@ -235,7 +228,7 @@
                now, actions);
         return actions;
     }
-    addTasks(job);
+    addTasks(scheduler, job);
     job.waitsFor = known == scheduler.byId.end() ? 0 : known->second;
     scheduler.byId[spec.id] = job.number;
     Job &kept = scheduler.jobs.emplace(job.number, std::move(job)).first->second;
--- /dev/null
+++ b/packages/scheduler/src/crashes.cpp
@@ -0,0 +1,129 @@
+/*
+    Tasks that crash the endpoints that run them, as the agents that saw it tell all entries.
+
+    [SECTION] Memory
+    [SECTION] Jobs
+*/
+#include <algorithm>
+
+#include "internal.h"
+
+namespace foxwing::scheduler {
+
+// [SECTION] Memory
+
+namespace {
+
+void forgetOldCrashes(SchedulerState &scheduler, Time now)
+{
+    for (auto item = scheduler.crashing.begin(); item != scheduler.crashing.end();)
+        item = now >= item->second ? scheduler.crashing.erase(item) : std::next(item);
+    std::map<std::string, CrashedJob> &jobs = scheduler.crashedJobs;
+    for (auto item = jobs.begin(); item != jobs.end();)
+        item = now >= item->second.until ? jobs.erase(item) : std::next(item);
+    while (jobs.size() > scheduler.settings.mostCrashedJobs) {
+        jobs.erase(
+                std::min_element(jobs.begin(), jobs.end(), [](const auto &left, const auto &right) {
+                    return left.second.until < right.second.until;
+                }));
+    }
+}
+
+// A crash that is told again, in another session, is the same one.
+void noteCrashes(SchedulerState &scheduler, const std::string &agent,
+                 const jobs::CrashReport &report, Time now)
+{
+    CrashedJob &job = scheduler.crashedJobs[report.task.job];
+    job.until = now + scheduler.settings.crashingFor;
+    std::uint32_t &crashes = job.crashes[report.task][agent];
+    crashes = std::max(crashes, report.crashes);
+}
+
+} // namespace
+
+std::uint32_t crashesOf(const SchedulerState &scheduler, const jobs::TaskId &task)
+{
+    const auto job = scheduler.crashedJobs.find(task.job);
+    if (job == scheduler.crashedJobs.end())
+        return 0;
+    const auto known = job->second.crashes.find(task);
+    std::uint32_t sum = 0;
+    if (known == job->second.crashes.end())
+        return sum;
+    for (const auto &[agent, crashes] : known->second)
+        sum += crashes;
+    return sum;
+}
+
+// [SECTION] Jobs
+
+bool isCrashing(SchedulerState &scheduler, const std::string &id, Time now)
+{
+    forgetOldCrashes(scheduler, now);
+    if (scheduler.crashing.count(id) != 0)
+        return true;
+    const auto job = scheduler.crashedJobs.find(id);
+    return job != scheduler.crashedJobs.end()
+            && std::any_of(job->second.crashes.begin(), job->second.crashes.end(),
+                           [&](const auto &task) {
+                               return crashesOf(scheduler, task.first)
+                                       >= scheduler.settings.mostCrashes;
+                           });
+}
+
+void giveUpIfCrashing(SchedulerState &scheduler, Job &job, const Task &task,
+                      const std::string &agent, Time now, SchedulerActions &actions)
+{
+    if (job.over || task.crashes < scheduler.settings.mostCrashes)
+        return;
+    ++scheduler.counters.crashingJobs;
+    scheduler.crashing[job.spec.id] = now + scheduler.settings.crashingFor;
+    answerJob(scheduler, job, JobOutcome::TimedOut,
+              std::to_string(task.crashes) + " endpoints crashed under task "
+                      + std::to_string(task.step) + "." + std::to_string(task.index) + ", last at "
+                      + agent,
+              now, actions);
+}
+
+namespace {
+
+// What is at work here under the id: the newest job, or none.
+Job *workingJob(SchedulerState &scheduler, const std::string &id)
+{
+    const auto number = scheduler.byId.find(id);
+    if (number == scheduler.byId.end())
+        return nullptr;
+    Job &job = scheduler.jobs.at(number->second);
+    return job.over ? nullptr : &job;
+}
+
+void applyCrashes(SchedulerState &scheduler, const std::string &agent, const jobs::TaskId &id,
+                  Time now, SchedulerActions &actions)
+{
+    Job *job = workingJob(scheduler, id.job);
+    if (!job)
+        return;
+    const auto task = std::find_if(job->tasks.begin(), job->tasks.end(), [&](const Task &other) {
+        return other.step == id.step && other.index == id.index;
+    });
+    if (task == job->tasks.end() || task->state == TaskState::Done)
+        return;
+    task->crashes = std::max(task->crashes, crashesOf(scheduler, id));
+    giveUpIfCrashing(scheduler, *job, *task, agent, now, actions);
+}
+
+} // namespace
+
+void takeCrashes(SchedulerState &scheduler, const std::string &agent,
+                 const std::vector<jobs::CrashReport> &reports, Time now, SchedulerActions &actions)
+{
+    if (reports.empty())
+        return;
+    for (const jobs::CrashReport &report : reports) {
+        noteCrashes(scheduler, agent, report, now);
+        applyCrashes(scheduler, agent, report.task, now, actions);
+    }
+    forgetOldCrashes(scheduler, now);
+}
+
+} // namespace foxwing::scheduler
--- a/packages/scheduler/src/ending.cpp
+++ b/packages/scheduler/src/ending.cpp
@@ -308,15 +308,7 @@
     actions.events.push_back(
             taskEvent("endpoint-crashed-under", job, task).with("crashes", task.crashes));
     freeTask(scheduler, job, task);
-    if (task.crashes < scheduler.settings.mostCrashes)
-        return;
-    ++scheduler.counters.crashingJobs;
-    scheduler.crashing[job.spec.id] = now + scheduler.settings.crashingFor;
-    answerJob(scheduler, job, JobOutcome::TimedOut,
-              std::to_string(task.crashes) + " endpoints crashed under task "
-                      + std::to_string(task.step) + "." + std::to_string(task.index) + ", last at "
-                      + agent,
-              now, actions);
+    giveUpIfCrashing(scheduler, job, task, agent, now, actions);
 }
 
 // Room that came free in a cordoned data centre is no room for what waits.
--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -3,6 +3,7 @@
 
     [SECTION] Placing
     [SECTION] Freed room
+    [SECTION] Crashes
     [SECTION] Ending
 */
 #pragma once
@@ -62,6 +63,24 @@
 // Thousandths of a core that came free in a millisecond, of late.
 double freedPerMillisecond(const SchedulerState &scheduler, const FreedRoom &freed, Time now);
 
+// [SECTION] Crashes
+
+// An agent tells of tasks under which its endpoint crashed; jobs that are at work here and have
+// crashed too many are given up.
+void takeCrashes(SchedulerState &scheduler, const std::string &agent,
+                 const std::vector<jobs::CrashReport> &reports, Time now,
+                 SchedulerActions &actions);
+
+// Crashes under the task that agents have told of, all entries' runs counted
+std::uint32_t crashesOf(const SchedulerState &scheduler, const jobs::TaskId &task);
+
+// Whether endpoints have crashed too often under the job of late.
+bool isCrashing(SchedulerState &scheduler, const std::string &id, Time now);
+
+// Gives the job up if endpoints have crashed too often under the task.
+void giveUpIfCrashing(SchedulerState &scheduler, Job &job, const Task &task,
+                      const std::string &agent, Time now, SchedulerActions &actions);
+
 // [SECTION] Ending
 
 void answerJob(SchedulerState &scheduler, Job &job, JobOutcome outcome, const std::string &reason,
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -138,6 +138,7 @@
                                      .with("agent", name)
                                      .with("incarnation", welcome.incarnation)
                                      .with("life", welcome.endpoint.life));
+    takeCrashes(scheduler, name, welcome.crashed, now, actions);
     // Nothing of an earlier session runs there any more.
     for (auto &[number, job] : scheduler.jobs) {
         for (Task &task : job.tasks) {
@@ -198,6 +199,7 @@
     takeRoom(agent, update);
     for (const jobs::RunReport &report : update.ended)
         runEnded(scheduler, name, report, now, actions);
+    takeCrashes(scheduler, name, update.crashed, now, actions);
     for (const jobs::LagReport &report : update.lagging)
         runLags(scheduler, name, report, now, actions);
     // Most news tells of less room. With sixteen jobs that wait and eighty endpoints, one piece of
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -6,6 +6,7 @@
 
     [SECTION] Calm
     [SECTION] Promises
+    [SECTION] Crashing tasks
     [SECTION] Guards
 */
 #include <cstdlib>
@@ -207,6 +208,70 @@
                 FaultCase { "WaitingAndAll", allFaults(), 86, 2 }),
         [](const auto &tested) { return tested.param.name; });
 
+// [SECTION] Crashing tasks
+
+// Few of many jobs crash the endpoints that run them, and are sent again after each answer.
+WorldSettings crashingWorld(std::uint64_t seed)
+{
+    WorldSettings settings;
+    settings.seed = seed;
+    settings.entries = 6;
+    settings.agents = 12;
+    settings.longestTask = 300;
+    settings.crashingEvery = 200;
+    return settings;
+}
+
+struct CrashingCase
+{
+    const char *name;
+    std::vector<Fault> faults;
+};
+
+std::ostream &operator<<(std::ostream &out, const CrashingCase &tested)
+{
+    return out << tested.name;
+}
+
+class Crashing : public testing::TestWithParam<CrashingCase>
+{ };
+
+TEST_P(Crashing, TasksAreGivenUpByAllEntries)
+{
+    for (std::uint64_t seed = firstSeed(); seed < afterLastSeed(); ++seed) {
+        WorldSettings settings = crashingWorld(seed);
+        settings.faults = GetParam().faults;
+        const WorldOutcome outcome = World(settings).play();
+        ASSERT_EQ(outcome.firstViolation, "") << "seed " << seed;
+        ASSERT_EQ(outcome.falseNotRun, 0U) << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleet, Crashing,
+                         testing::Values(CrashingCase { "Calm", {} },
+                                         CrashingCase { "EntryKill", { Fault::EntryKill } },
+                                         CrashingCase { "AllReset", { Fault::AllReset } },
+                                         CrashingCase { "Cut", { Fault::Cut } }),
+                         [](const auto &tested) { return tested.param.name; });
+
+// Where agents do not tell, jobs that crash endpoints begin anew at each entry, and take more than
+// twice as many others along.
+TEST(FleetCrashing, IsMissedWhereAgentsDoNotTell)
+{
+    WorldOutcome told;
+    WorldOutcome untold;
+    for (std::uint64_t seed = firstSeed(); seed < afterLastSeed(); ++seed) {
+        WorldSettings settings = crashingWorld(seed);
+        told.othersTimedOut += World(settings).play().othersTimedOut;
+        settings.crashesNotTold = true;
+        const WorldOutcome outcome = World(settings).play();
+        untold.othersTimedOut += outcome.othersTimedOut;
+        untold.startsCrashing += outcome.startsCrashing;
+    }
+    EXPECT_GT(untold.startsCrashing, 0U);
+    EXPECT_LT(told.othersTimedOut * 2, untold.othersTimedOut);
+}
+
 // [SECTION] Guards
 
 struct GuardCase
--- a/tests/fleet/size_test.cpp
+++ b/tests/fleet/size_test.cpp
@@ -125,7 +125,7 @@
     scheduler::SchedulerState entry = scheduler::makeScheduler(scheduler::SchedulerSettings());
     for (const std::string &agent : agents) {
         scheduler::agentConnected(entry, agent, Start);
-        scheduler::agentWelcomed(entry, agent, { 1, viewOfEndpoint() }, Start);
+        scheduler::agentWelcomed(entry, agent, { 1, viewOfEndpoint(), {} }, Start);
     }
     int jobs = 0;
     for (Time now = Start; now < Start + Span; now += Turn) {
--- a/tests/fleet/world.cpp
+++ b/tests/fleet/world.cpp
@@ -213,6 +213,11 @@
         break;
     case scheduler::JobOutcome::TimedOut:
         ++m_outcome.timedOut;
+        m_outcome.othersTimedOut += id.empty() || isCrashing(id) ? 0 : 1;
+        // After such an answer the job is sent again, as after none.
+        if (!id.empty() && isCrashing(id) && m_now < m_end)
+            at(m_now + ResendAfter,
+               [this, spec = m_specs.at(id), sent = m_now] { submit(spec, sent); });
         break;
     }
     closeCall(call->second);
@@ -463,7 +468,10 @@
                 number, start, Milliseconds(0),
                 [this, number](FakeEndpoint &endpoint, const runner::StartOrder &wanted) {
                     const Milliseconds work = m_specs.at(wanted.id.task.job).steps[0].estimate;
+                    const bool wasThere = endpoint.runs().count(wanted.id) != 0;
                     const auto answered = endpoint.start(wanted, m_now, work);
+                    if (answered.answer == runner::Answer::Ok && !wasThere)
+                        noteCrashing(number, wanted.id);
                     if (answered.answer == runner::Answer::Ok)
                         m_began.insert(wanted.id.task.job);
                     if (answered.answer == runner::Answer::Ok)
@@ -503,10 +511,15 @@
             });
         }
     };
+    const auto told = [this](auto message) {
+        if (m_settings.crashesNotTold)
+            message.crashed.clear();
+        return message;
+    };
     for (const auto &[session, message] : actions.welcomes)
-        deliver(session, message, scheduler::agentWelcomed);
+        deliver(session, told(message), scheduler::agentWelcomed);
     for (const auto &[session, message] : actions.updates)
-        deliver(session, message, scheduler::agentUpdated);
+        deliver(session, told(message), scheduler::agentUpdated);
     for (const std::uint64_t session : actions.closes) {
         for (int i = 0; i < m_settings.entries; ++i) {
             const Session &known = m_entries[static_cast<std::size_t>(i)]
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -82,6 +82,9 @@
     // Queues of different priorities; with more than one, starts of the most urgent wait at agents.
     std::uint32_t priorities = 1;
 
+    // Every so manieth job crashes each endpoint that runs it; 0: none does.
+    std::uint64_t crashingEvery = 0;
+
     // None in a calm world
     std::vector<Fault> faults;
     int mostFaults = 6;
@@ -100,6 +103,9 @@
     // Processes tell time by a clock that stops while their host is suspended.
     bool clocksStopAsleep = false;
 
+    // Agents do not tell under which tasks their endpoints crashed.
+    bool crashesNotTold = false;
+
     // Entries take in calls, and place work after a loss of sessions, without a look whether the
     // caller is there.
     bool callersNotSeen = false;
@@ -132,6 +138,12 @@
 
     // Runs for which an agent held room long after they were over
     std::uint64_t runsHeld = 0;
+
+    // Starts of a task under which three endpoints had crashed, beyond two
+    std::uint64_t startsCrashing = 0;
+
+    // Begun jobs given up that crash nothing themselves
+    std::uint64_t othersTimedOut = 0;
     std::string firstViolation;
 };
 
@@ -192,6 +204,9 @@
     void tellAgent(int agent);
     void tellEntry(int entry);
     void noteStart(int agent);
+    bool isCrashing(const std::string &job) const;
+    void noteCrashing(int agent, const jobs::RunId &id);
+    void crashUnder(int agent, const jobs::RunId &id);
 
     void drawFaults();
     void strike(Fault fault);
@@ -231,6 +246,10 @@
     std::map<std::string, jobs::JobSpec> m_specs;
     std::set<std::string> m_began;
 
+    // Crashes of endpoints under a task that crashes them, and its starts after the third
+    std::map<jobs::TaskId, int> m_crashes;
+    std::map<jobs::TaskId, int> m_startsBeyond;
+
     // By job: callers that wait for it, and when the last one ceased to
     std::map<std::string, int> m_callers;
     std::map<std::string, Time> m_unwantedSince;
--- a/tests/fleet/worldfaults.cpp
+++ b/tests/fleet/worldfaults.cpp
@@ -3,6 +3,7 @@
 
     [SECTION] Control
     [SECTION] Faults
+    [SECTION] Crashing tasks
     [SECTION] Resets
     [SECTION] Promises
 */
@@ -237,6 +238,39 @@
     });
 }
 
+// [SECTION] Crashing tasks
+
+bool World::isCrashing(const std::string &job) const
+{
+    return m_settings.crashingEvery != 0
+            && std::stoul(job.substr(job.find('-') + 1)) % m_settings.crashingEvery == 0;
+}
+
+// A run began that may be of a task that crashes its endpoint half way through.
+void World::noteCrashing(int agent, const jobs::RunId &id)
+{
+    if (!isCrashing(id.task.job))
+        return;
+    if (m_crashes[id.task] >= CrashesEnough && ++m_startsBeyond[id.task] > StartsBeyond)
+        violate(m_outcome.startsCrashing,
+                "a start of " + id.task.job + ", which crashes endpoints");
+    at(m_now + m_specs.at(id.task.job).steps[0].estimate / 2,
+       [this, agent, id] { crashUnder(agent, id); });
+}
+
+void World::crashUnder(int number, const jobs::RunId &id)
+{
+    Agent &agent = *m_agents[static_cast<std::size_t>(number)];
+    if (agent.endpoint->runs().count(id) == 0)
+        return;
+    // All tasks of the job that run there have their part in it.
+    for (const auto &[other, run] : agent.endpoint->runs()) {
+        if (other.task.job == id.task.job)
+            ++m_crashes[other.task];
+    }
+    agent.endpoint->crash("life-" + std::to_string(++m_lastLife));
+}
+
 // [SECTION] Resets
 
 // Every second caller loses its entry, which hears nothing of it.
--- a/tests/fleet/worldparts.h
+++ b/tests/fleet/worldparts.h
@@ -49,6 +49,10 @@
 constexpr Milliseconds LearnsOfEndBound { 2000 };
 inline const jobs::Room Capacity { 16000, 65536, 0 };
 
+// Starts of a task that crashes endpoints may be under way when the third has crashed.
+constexpr int CrashesEnough = 3;
+constexpr int StartsBeyond = 2;
+
 // Work after the last job came, so that every answer is out.
 constexpr Milliseconds Tail { 20000 };
 
--- a/tests/fuzz/frames_test.cpp
+++ b/tests/fuzz/frames_test.cpp
@@ -31,6 +31,7 @@
     jobs::AgentUpdate update;
     update.endpoint = { makeView() };
     update.ended = { { { { "job", 0, 1, 2 }, 3 }, jobs::RunEnd::Lost, {}, Milliseconds(5) } };
+    update.crashed = { { { "job", 0, 1, 2 }, 3 } };
     jobs::StartTasks start;
     start.job = "5c0e7a21d94b36f8";
     start.payload = "(text)";
@@ -39,6 +40,7 @@
     push.cordons = { 7, { "north", "south" } };
     jobs::Welcome welcome;
     welcome.endpoint = makeView();
+    welcome.crashed = update.crashed;
     directory::NodeInfo node;
     node.name = "n";
     node.role = directory::Role::Agent;
