--- a/packages/runner/src/runner.cpp
+++ b/packages/runner/src/runner.cpp
@@ -106,6 +106,8 @@
     runner.runs.erase(found);
     countEnd(runner, end);
     noteFreed(runner, run, end, now);
+    if (end == RunEnd::Crashed)
+        noteCrash(runner, id.task, now);
     const bool began = run.startedAt != Time {};
     const auto took = std::chrono::duration_cast<Milliseconds>(began ? now - run.startedAt
                                                                      : Microseconds(0));
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -152,6 +152,10 @@
     // those who wait for it.
     Milliseconds crashingFor { 60000 };
 
+    // Jobs whose crashes are remembered as agents tell them: more than run on some endpoints that
+    // crash, within that time.
+    std::size_t mostCrashedJobs = 1024;
+
     // Work that has begun is finished, late too, for as long as its caller waits. Where the caller
     // does not say how long that is, up to this, or to lateFactor objectives if those take longer.
     Milliseconds longestJob { 15000 };
@@ -390,6 +394,16 @@
     std::map<std::uint32_t, FadingSum> own;
 };
 
+// What agents tell of a job under whose tasks their endpoints crashed, here or for another entry.
+struct CrashedJob
+{
+    // By task, and by the agent that saw them
+    std::map<jobs::TaskId, std::map<std::string, std::uint32_t>> crashes;
+
+    // When it is forgotten, unless there is more news
+    Time until {};
+};
+
 struct SchedulerCounters
 {
     std::uint64_t submitted = 0;
@@ -428,6 +442,9 @@
     // Jobs that were given up since endpoints crashed under them, and until when that is remembered
     std::map<std::string, Time> crashing;
 
+    // By job
+    std::map<std::string, CrashedJob> crashedJobs;
+
     // Some waiting work was not looked at yet with the room as it is.
     bool untried = false;
 
