Lag: how far an entry is behind with its own work, and when it stands back

Cause: an entry that was slowed down, or has too small a share of a processor, answers late and does not know it: it reads a call's time off its own clock when it reads the call.

Change: the package measures how late turns of a loop are (the middle of three, averaged over half a second), says what a call has probably waited unread, and decides when the process stands back: for 2.5 to 3.8 s, afterwards not for 15 times as long, not just after its start, by a seeded chance.

Conclusion: the decision is whole; off while its bound is zero.

--- a/packages/lag/include/foxwing/lag/lag.h
+++ b/packages/lag/include/foxwing/lag/lag.h
@@ -3,11 +3,17 @@
 
     A host that was slowed down, or has too small a share of a processor for the calls it gets,
     answers everything late and does not know it: its own clock starts when it reads a call. The
-    loop's timer tells: it fires late by what the loop had to do before it.
+    loop's turns tell: each begins late by what the loop had to do before it.
 
-        LagState lag;
-        noteTurn(lag, dueAt, now);
-        if (standsBack(lag)) ... is not ready, refuses what it can't serve in time ...
+    A process that is behind says what a call has probably waited unread. For a bounded time it
+    also stands back: it asks its callers to go elsewhere. It can't see whether the other processes
+    of its kind stand back too, so it does so by chance, for a short time, and seldom.
+
+        LagState lag = makeLag(settings);
+        if (noteTurn(lag, dueAt, now)) ... log the change ...
+        call.cameAt = now - unreadWait(lag);
+        if (standsBack(lag)) ... answer that it is not ready ...
+        if (sendsCallersAway(lag)) ... close connections after their answers ...
 
     [SECTION] Settings
     [SECTION] State
@@ -15,7 +21,9 @@
 */
 #pragma once
 
+#include <array>
 #include <cstdint>
+#include <random>
 
 #include <foxwing/base/time.h>
 
@@ -25,44 +33,90 @@
 
 struct LagSettings
 {
-    // Behind by this much, averaged over the span, the process stands back; zero: never.
+    std::uint64_t seed = 1;
+
+    // Behind by more than this, averaged over the span, the process stands back; zero: never.
     Milliseconds standBackAbove { 0 };
 
-    // It takes work again once it is behind by less than this.
+    // It is no longer behind below this, or below half of the bound above if that is less.
     Milliseconds takeAgainBelow { 5 };
 
     // Turns count for about this long.
     Milliseconds span { 500 };
 
-    // It stands back for no shorter and no longer than this at a time, so that callers neither
-    // swing between entries nor lose one for good.
-    Milliseconds leastPause { 1000 };
-    Milliseconds mostPause { 5000 };
+    // No turn counts as later than this, so that the average falls in bounded time.
+    Milliseconds mostLate { 500 };
+
+    // What a process does first takes longer than usual; it must not delay its coming into use.
+    Milliseconds afterStart { 3000 };
+
+    // It stands back for no shorter than this at a time: a balancer that asks every second and
+    // wants two misses has then had no new connections sent here for a moment at least.
+    Milliseconds leastPause { 2500 };
+
+    // And for hardly longer, a turn at the most: a process that is always behind must not be lost
+    // for good.
+    Milliseconds mostPause { 3800 };
+
+    // Between two pauses it takes work for at least so many times as long as the last one took,
+    // so that always being behind costs a small and known part of its time.
+    std::uint32_t workForPauses = 15;
+
+    // Connections are closed only so long after it began to stand back: before the balancer has
+    // noticed, a caller that connects anew would come back to this process.
+    Milliseconds noticedAfter { 2000 };
+
+    // Of the processes that are behind at one time so many stand back, in percent, so that not
+    // all leave at once. The others ask again after the pause below, when the first are there
+    // again.
+    std::uint32_t standBackPercent = 75;
+    Milliseconds askAgainAfter { 4000 };
 };
 
 // [SECTION] State
 
+// Of how many turns the middle one counts: a single long turn is then no sign.
+constexpr std::size_t JudgedTurns = 3;
+
 struct LagState
 {
     LagSettings settings;
+    std::mt19937_64 random;
 
-    // How late the loop's turns were of late
+    // How late the last turns were, the oldest overwritten first
+    std::array<Microseconds, JudgedTurns> late {};
+    std::size_t next = 0;
+
+    // How late turns were of late, on average over time
     Microseconds behind { 0 };
+
+    // The last turn; unset before the first
     Time at {};
 
+    // Behind, with a lower bound for its end than for its beginning
+    bool slow = false;
+
+    // Whether it stands back, since when, and the earliest time for the next pause
     bool back = false;
     Time backSince {};
+    Time mayStandBackFrom {};
     std::uint64_t timesBack = 0;
 };
 
 // [SECTION] Functions
 
-// A turn that was due at dueAt began now. True if whether it stands back has changed by it.
+LagState makeLag(const LagSettings &settings);
+
+// A turn that was due at dueAt began now; the first one only begins the measure. True if whether it
+// stands back has changed by it.
 bool noteTurn(LagState &lag, Time dueAt, Time now);
 
 bool standsBack(const LagState &lag);
 
-// What a call that is read now has probably waited already, unread.
+// Whether callers that were answered should go elsewhere with their next call.
+bool sendsCallersAway(const LagState &lag);
+
+// What a call that is read now has probably waited already, unread; zero unless it is behind.
 Microseconds unreadWait(const LagState &lag);
 
 } // namespace foxwing::lag
