HTTP: closing connections after their answers can be taken back

Cause: an entry that stands back for seconds wants its callers' next calls to go elsewhere, and afterwards to keep connections again; closeAfterAnswers() had no way back.

Change: setCloseAfterAnswers(bool). What counts is the moment of the answer.

An existing test was touched: AnswersWhatIsUnderWayWhenItStopsAccepting calls the new name; what it checks is the same. New: four cases over real sockets (a connection closed after its answer, then kept open again; begun and ended during a call).

--- a/packages/fabric/include/foxwing/fabric/httpserver.h
+++ b/packages/fabric/include/foxwing/fabric/httpserver.h
@@ -92,8 +92,8 @@
 
     void setLimits(const HttpLimits &limits);
 
-    // From now on each answer asks the caller to use another connection next time.
-    void closeAfterAnswers();
+    // While set, each answer asks the caller to use another connection next time.
+    void setCloseAfterAnswers(bool close);
 
     // Accepts no more, and closes connections that carry no request.
     void stopAccepting();
--- a/packages/fabric/src/httpserver.cpp
+++ b/packages/fabric/src/httpserver.cpp
@@ -323,9 +323,9 @@
     m_state->limits = limits;
 }
 
-void HttpServer::closeAfterAnswers()
+void HttpServer::setCloseAfterAnswers(bool close)
 {
-    m_state->closeAfterAnswers = true;
+    m_state->closeAfterAnswers = close;
 }
 
 void HttpServer::stopAccepting()
--- a/packages/fabric/tests/http_test.cpp
+++ b/packages/fabric/tests/http_test.cpp
@@ -176,7 +176,7 @@
     client.call(Request(http::verb::get, "/", 11), Patience,
                 [&](CallResult got) { result = std::move(got); });
     ASSERT_TRUE(site.until([&] { return site.exchanges.size() == 1; }));
-    site.server.closeAfterAnswers();
+    site.server.setCloseAfterAnswers(true);
     site.server.stopAccepting();
     site.exchanges[0]->answer(makeResponse(200, "text/plain", "late"));
     ASSERT_TRUE(site.until([&] { return result.has_value(); }));
@@ -186,6 +186,56 @@
     EXPECT_TRUE(site.until([&] { return site.server.connections() == 0; }));
 }
 
+struct ClosingCase
+{
+    const char *name;
+
+    // Whether answers close, at the first call, before its answer, and at the second call
+    bool atCall;
+    bool atAnswer;
+    bool atNext;
+
+    // Connections that the two calls take
+    std::size_t opened;
+};
+
+class Closing : public testing::TestWithParam<ClosingCase>
+{ };
+
+// What counts is the moment of the answer; a connection that was left open is used again.
+TEST_P(Closing, FollowsTheServersWish)
+{
+    Site site;
+    site.answers = false;
+    HttpClient client(site.io, site.address, {});
+    std::vector<bool> kept;
+    const auto call = [&](bool atCall, bool atAnswer) {
+        const std::size_t before = site.exchanges.size();
+        site.server.setCloseAfterAnswers(atCall);
+        client.call(Request(http::verb::get, "/", 11), Patience, [&](const CallResult &result) {
+            ASSERT_TRUE(result.response);
+            kept.push_back(result.response->keep_alive());
+        });
+        ASSERT_TRUE(site.until([&] { return site.exchanges.size() > before; }));
+        site.server.setCloseAfterAnswers(atAnswer);
+        site.exchanges.back()->answer(makeResponse(200, "text/plain", ""));
+        ASSERT_TRUE(site.until([&] { return kept.size() > before; }));
+        EXPECT_TRUE(site.until([&] { return site.server.connections() == (atAnswer ? 0U : 1U); }));
+    };
+    call(GetParam().atCall, GetParam().atAnswer);
+    call(GetParam().atNext, GetParam().atNext);
+    EXPECT_EQ(kept, std::vector<bool>({ !GetParam().atAnswer, !GetParam().atNext }));
+    EXPECT_EQ(client.opened(), GetParam().opened);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fabric, Closing,
+                         testing::Values(ClosingCase { "Never", false, false, false, 1 },
+                                         ClosingCase { "AndKeepsOpenAgain", true, true, false, 2 },
+                                         ClosingCase { "BegunDuringACall", false, true, true, 2 },
+                                         ClosingCase { "OverBeforeTheAnswer", true, false, false,
+                                                       1 }),
+                         [](const auto &tested) { return tested.param.name; });
+
 // [SECTION] Client
 
 TEST(FabricHttpClient, KeepsItsConnections)
