Fleet: an entry that is behind with its work says so, and counts its callers' lost time

Cause: an entry that runs slow took calls as before and counted their time from when it read them: jobs whose time was over were placed, and late.

Change: an entry feeds packages/lag with its turns. With [policy] stand_back_above_milliseconds above zero (the default is zero: nothing of the following) it answers that it is not ready while it stands back, closes connections after their answers once the platform can have noticed (2 s), and counts a call from when its bytes came to the host as long as it is behind (Exchange::sinceReceived, from TCP_INFO). unreadWait of the agreed header gave way to isBehind: what a call has waited is known, it need not be estimated.

Ruled out: half of the measured lateness as the time a call has lost. Closing connections at once when standing back: callers are led here by a hash until the platform has had two misses.

Tests: settings_test has the new key and one refused value more; the lag tests of the estimate became tests of isBehind (same loads); Unread in http_test is new.

--- a/packages/fabric/include/foxwing/fabric/httpserver.h
+++ b/packages/fabric/include/foxwing/fabric/httpserver.h
@@ -61,6 +61,11 @@
     // False if the caller has closed its connection already, which onGone() tells a moment later.
     bool callerIsThere() const;
 
+    // How long ago the last bytes of the connection came to this host, whether or not anybody read
+    // them, in whole milliseconds; zero if the system can't tell. Asked when the request has just
+    // been read, it is what the request waited unread.
+    Milliseconds sinceReceived() const;
+
     // Called if the caller goes before the answer.
     void onGone(std::function<void()> handler) { m_gone = std::move(handler); }
 
--- a/packages/fabric/src/httpserver.cpp
+++ b/packages/fabric/src/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <cerrno>
+#include <netinet/tcp.h>
 #include <set>
 #include <sys/socket.h>
 
@@ -191,6 +192,15 @@
         return got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
     }
 
+    Milliseconds sinceReceived()
+    {
+        tcp_info info {};
+        socklen_t size = sizeof(info);
+        if (::getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+            return Milliseconds(0);
+        return Milliseconds(info.tcpi_last_data_recv);
+    }
+
     void callerGone()
     {
         const ExchangePtr exchange = m_exchange;
@@ -251,6 +261,13 @@
     return connection && !connection->m_closed && connection->callerIsThere();
 }
 
+Milliseconds Exchange::sinceReceived() const
+{
+    const auto connection = m_connection.lock();
+    const bool open = connection && !connection->m_closed;
+    return open ? connection->sinceReceived() : Milliseconds(0);
+}
+
 void Exchange::answer(Response response)
 {
     if (m_answered)
--- a/packages/fabric/tests/http_test.cpp
+++ b/packages/fabric/tests/http_test.cpp
@@ -6,6 +6,7 @@
     [SECTION] Client
 */
 #include <gtest/gtest.h>
+#include <thread>
 
 #include <boost/asio/write.hpp>
 
@@ -186,6 +187,48 @@
     EXPECT_TRUE(site.until([&] { return site.server.connections() == 0; }));
 }
 
+struct UnreadCase
+{
+    const char *name;
+
+    // For so long after the request was sent nobody reads
+    Milliseconds stoodStill;
+};
+
+class Unread : public testing::TestWithParam<UnreadCase>
+{ };
+
+// The second request on a connection counts from its own bytes.
+TEST_P(Unread, TimeOfARequestIsKnown)
+{
+    constexpr Milliseconds Coarse { 10 };
+    Site site;
+    site.answers = false;
+    Socket socket(site.io);
+    socket.connect(*parseEndpoint(site.address, nullptr));
+    for (const std::size_t number : { 1U, 2U }) {
+        const auto sent = std::chrono::steady_clock::now();
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        std::this_thread::sleep_for(GetParam().stoodStill);
+        ASSERT_TRUE(site.until([&] { return site.exchanges.size() == number; }));
+        const Milliseconds unread = site.exchanges.back()->sinceReceived();
+        const auto passed = std::chrono::duration_cast<Milliseconds>(
+                std::chrono::steady_clock::now() - sent);
+        EXPECT_GE(unread + Coarse, GetParam().stoodStill);
+        EXPECT_LE(unread, passed + Coarse);
+        site.exchanges.back()->answer(makeResponse(200, "text/plain", ""));
+        site.until([] { return false; }, Milliseconds(50));
+    }
+    socket.close();
+    EXPECT_TRUE(site.until([&] { return site.server.connections() == 0; }));
+    EXPECT_EQ(site.exchanges.back()->sinceReceived(), Milliseconds(0));
+}
+
+INSTANTIATE_TEST_SUITE_P(Fabric, Unread,
+                         testing::Values(UnreadCase { "ReadAtOnce", Milliseconds(0) },
+                                         UnreadCase { "ReadLate", Milliseconds(120) }),
+                         [](const auto &tested) { return tested.param.name; });
+
 struct ClosingCase
 {
     const char *name;
--- a/packages/fleet/include/foxwing/fleet/settings.h
+++ b/packages/fleet/include/foxwing/fleet/settings.h
@@ -21,6 +21,7 @@
 #include <foxwing/base/time.h>
 #include <foxwing/directory/directory.h>
 #include <foxwing/eventlog/eventlog.h>
+#include <foxwing/lag/lag.h>
 #include <foxwing/runner/runner.h>
 #include <foxwing/scheduler/scheduler.h>
 #include <foxwing/subset/subset.h>
@@ -79,12 +80,13 @@
     // A caller that lost its entry sends its job again after this long.
     Milliseconds resendAfter { 1300 };
 
-    // [policy], entries only: which job goes next, which is refused, and how many agents an entry
-    // works with. The rest is not read from
+    // [policy], entries only: which job goes next, which is refused, how many agents an entry works
+    // with, and how far behind with its own work it stands back. The rest is not read from
     // the file; here so that tests and experiments can set it.
     scheduler::SchedulerSettings scheduler;
     runner::RunnerSettings runner;
     subset::SubsetSettings subset;
+    lag::LagSettings lag;
     eventlog::EventLogSettings log;
 };
 
--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -5,11 +5,14 @@
     [SECTION] Callers
     [SECTION] Agents
     [SECTION] Control
+    [SECTION] Lag
     [SECTION] Time
 */
 #include <algorithm>
 
+#include <foxwing/base/digest.h>
 #include <foxwing/fabric/httpserver.h>
+#include <foxwing/lag/lag.h>
 
 #include "agentlinks.h"
 #include "core.h"
@@ -39,6 +42,14 @@
 constexpr Milliseconds LastJobs { 1800 };
 constexpr Milliseconds LastAnswers { 300 };
 
+// A seed of its own for each entry, so that slow ones don't all stand back at once.
+lag::LagSettings lagSettings(const Core &core)
+{
+    lag::LagSettings settings = core.settings.lag;
+    settings.seed = hash64(core.self.name) ^ core.self.incarnation;
+    return settings;
+}
+
 class EntryShell : public RoleShell
 {
 public:
@@ -47,6 +58,7 @@
         , m_dialect(dialect)
         , m_scheduler(scheduler::makeScheduler(core.settings.scheduler))
         , m_agents(core, agentEvents())
+        , m_lag(lag::makeLag(lagSettings(core)))
         , m_control(core, controlEvents())
     { }
 
@@ -86,6 +98,12 @@
 
     void carryOut(scheduler::SchedulerActions &&actions);
     void answer(const scheduler::JobAnswer &answer);
+
+    // Lag
+    Time cameAt(const fabric::Exchange &exchange, std::optional<Time> heldSince, Time now) const;
+    void noteTurn(Time now);
+    void tellStandingBack(Time now);
+
     void checkPause(Time now);
 
     Core &m_core;
@@ -104,6 +122,10 @@
     std::unique_ptr<fabric::HttpServer> m_callers;
     std::unique_ptr<fabric::HttpServer> m_readiness;
     Time m_lastTurn {};
+    lag::LagState m_lag;
+
+    // When the next turn of the loop is due
+    Time m_turnDueAt {};
     bool m_stopping = false;
     Time m_stopBegan {};
     std::uint64_t m_notFound = 0;
@@ -132,7 +154,8 @@
 
 bool EntryShell::ready() const
 {
-    return !m_stopping && m_catalog.version > 0 && scheduler::reachesEndpoints(m_scheduler);
+    return !m_stopping && m_catalog.version > 0 && scheduler::reachesEndpoints(m_scheduler)
+            && !lag::standsBack(m_lag);
 }
 
 void EntryShell::handleReadiness(const ExchangePtr &exchange)
@@ -226,11 +249,12 @@
     terms.attempts = queue.attempts;
     terms.stretch = std::clamp(queue.stretch, 0.0, MostStretch);
     terms.targetLatency = queue.targetLatency;
-    const Time cameAt = heldSince.value_or(now);
-    terms.cameAt = heldSince;
-    terms.beginBy = cameAt + queue.timeout;
+    const Time came = cameAt(*exchange, heldSince, now);
+    if (came < now)
+        terms.cameAt = came;
+    terms.beginBy = came + queue.timeout;
     if (call.patience)
-        terms.patienceUntil = cameAt + *call.patience;
+        terms.patienceUntil = came + *call.patience;
     terms.suitableElsewhere = m_agents.reach(*spec, queue.service, now);
     keepAgents(now);
     std::uint64_t number = 0;
@@ -238,7 +262,7 @@
                                                             &number);
     m_waiting[number].push_back(exchange);
     m_queueOf[number] = queue.name;
-    m_cameAt.emplace(number, cameAt);
+    m_cameAt.emplace(number, came);
     exchange->onGone([this, number, weak = std::weak_ptr<fabric::Exchange>(exchange)] {
         if (const auto gone = weak.lock())
             callerGone(number, gone);
@@ -397,6 +421,40 @@
     serveHeld();
 }
 
+// [SECTION] Lag
+
+// A call that an entry reads while it is behind has lost part of its caller's time already.
+Time EntryShell::cameAt(const fabric::Exchange &exchange, std::optional<Time> heldSince,
+                        Time now) const
+{
+    if (heldSince)
+        return *heldSince;
+    return lag::isBehind(m_lag) ? now - exchange.sinceReceived() : now;
+}
+
+void EntryShell::noteTurn(Time now)
+{
+    if (lag::noteTurn(m_lag, m_turnDueAt, now))
+        tellStandingBack(now);
+    // From this turn's beginning, so that a long turn makes the next one late.
+    m_turnDueAt = now + TickInterval;
+    m_callers->setCloseAfterAnswers(m_stopping || lag::sendsCallersAway(m_lag));
+}
+
+void EntryShell::tellStandingBack(Time now)
+{
+    if (lag::standsBack(m_lag))
+        writeEvent(m_core.log,
+                   change("stands-back")
+                           .with("behind_ms", m_lag.behind)
+                           .with("open_jobs", std::uint64_t { scheduler::openJobs(m_scheduler) }));
+    else
+        writeEvent(m_core.log,
+                   change("takes-work-again")
+                           .with("for_ms", now - m_lag.backSince)
+                           .with("behind_ms", m_lag.behind));
+}
+
 // [SECTION] Time
 
 void EntryShell::checkPause(Time now)
@@ -413,6 +471,7 @@
 void EntryShell::tick(Time now)
 {
     checkPause(now);
+    noteTurn(now);
     refuseHeld(now);
     m_control.tick(now);
     keepAgents(now);
@@ -423,7 +482,7 @@
 {
     m_stopping = true;
     m_stopBegan = now;
-    m_callers->closeAfterAnswers();
+    m_callers->setCloseAfterAnswers(true);
 }
 
 bool EntryShell::stopped(Time now)
@@ -473,6 +532,8 @@
           count(counters.endpointsTried) },
         { "foxwing_not_found_total", "Calls without a queue", count(m_notFound) },
         { "foxwing_bad_requests_total", "Jobs that could not be read", count(m_badRequests) },
+        { "foxwing_stood_back_total", "Times this entry stood back for being behind",
+          count(m_lag.timesBack) },
     };
     const auto gauge = [&](const char *name, const char *help, std::size_t value) {
         samples.push_back({ name, help, static_cast<double>(value), true });
@@ -488,6 +549,10 @@
           endpointsWithoutQueue());
     gauge("foxwing_control_hosts", "Control hosts in touch", m_control.connected());
     gauge("foxwing_catalog_version", "Catalog in force", m_catalog.version);
+    gauge("foxwing_standing_back", "1 while this entry stands back",
+          lag::standsBack(m_lag) ? 1 : 0);
+    samples.push_back({ "foxwing_behind_ms", "How late turns of the loop were of late",
+                        toMilliseconds(m_lag.behind), true });
     return samples;
 }
 
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -26,6 +26,9 @@
 // again.
 constexpr Milliseconds ResendMargin { 100 };
 
+// No turn counts as later than LagSettings::mostLate; a bound near it would hardly be reached.
+constexpr Milliseconds MostStandBackAbove { 400 };
+
 void readNode(TomlReader table, FleetSettings &settings)
 {
     std::string role = directory::toString(settings.role);
@@ -96,6 +99,13 @@
     table.finish();
 }
 
+void readLag(TomlReader &policy, FleetSettings &settings)
+{
+    std::int64_t above = settings.lag.standBackAbove.count();
+    policy.whole("stand_back_above_milliseconds", above, 0, MostStandBackAbove.count());
+    settings.lag.standBackAbove = Milliseconds(above);
+}
+
 void readPolicy(TomlReader table, FleetSettings &settings)
 {
     scheduler::SchedulerSettings &policy = settings.scheduler;
@@ -133,6 +143,7 @@
     table.flag("move_runs", policy.moveRuns);
     table.whole("subset_size", settings.subset.least, 1, 100000);
     table.whole("entries_per_agent", settings.subset.entriesPerAgent, 1, 1000);
+    readLag(table, settings);
     table.flag("judge_endpoint", settings.runner.judgeEndpoint);
     table.finish();
 }
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -49,6 +49,7 @@
 placement = "most-room"
 learn_run_times = false
 move_runs = false
+stand_back_above_milliseconds = 40
 judge_endpoint = false
 )";
 
@@ -77,6 +78,7 @@
     EXPECT_EQ(settings->scheduler.placement, scheduler::Placement::MostRoom);
     EXPECT_FALSE(settings->scheduler.learnRunTimes);
     EXPECT_FALSE(settings->scheduler.moveRuns);
+    EXPECT_EQ(settings->lag.standBackAbove, Milliseconds(40));
     EXPECT_FALSE(settings->runner.judgeEndpoint);
 }
 
@@ -121,6 +123,8 @@
                 BadCase { "Far", "far_factor = 3", "far_factor = 0.5", "far_factor" },
                 BadCase { "NoSubset", "subset_size = 12", "subset_size = 0", "subset_size" },
                 BadCase { "AtArrival", "= 150", "= -1", "refuse_at_arrival_percent" },
+                BadCase { "StandBack", "milliseconds = 40", "milliseconds = 401",
+                          "stand_back_above_milliseconds" },
                 BadCase { "Margin", "= 20", "= -1", "margin_percent" },
                 BadCase { "Grace", "= 6", "= \"long\"", "stop_grace" }),
         [](const auto &tested) { return tested.param.name; });
--- a/packages/lag/include/foxwing/lag/lag.h
+++ b/packages/lag/include/foxwing/lag/lag.h
@@ -5,13 +5,14 @@
     answers everything late and does not know it: its own clock starts when it reads a call. The
     loop's turns tell: each begins late by what the loop had to do before it.
 
-    A process that is behind says what a call has probably waited unread. For a bounded time it
-    also stands back: it asks its callers to go elsewhere. It can't see whether the other processes
-    of its kind stand back too, so it does so by chance, for a short time, and seldom.
+    For a process that is behind, a call's time counts from when it came and not from when it is
+    read. For a bounded time it also stands back: it asks its callers to go elsewhere. It can't see
+   whether the other processes of its kind stand back too, so it does so by chance, for a short
+   time, and seldom.
 
         LagState lag = makeLag(settings);
         if (noteTurn(lag, dueAt, now)) ... log the change ...
-        call.cameAt = now - unreadWait(lag);
+        if (isBehind(lag)) ... take off a call's time what it has waited unread ...
         if (standsBack(lag)) ... answer that it is not ready ...
         if (sendsCallersAway(lag)) ... close connections after their answers ...
 
@@ -116,7 +117,7 @@
 // Whether callers that were answered should go elsewhere with their next call.
 bool sendsCallersAway(const LagState &lag);
 
-// What a call that is read now has probably waited already, unread; zero unless it is behind.
-Microseconds unreadWait(const LagState &lag);
+// Whether calls lose much of their time before they are read, standing back or not.
+bool isBehind(const LagState &lag);
 
 } // namespace foxwing::lag
--- a/packages/lag/src/lag.cpp
+++ b/packages/lag/src/lag.cpp
@@ -116,10 +116,9 @@
     return lag.back && lag.at >= lag.backSince + lag.settings.noticedAfter;
 }
 
-Microseconds unreadWait(const LagState &lag)
+bool isBehind(const LagState &lag)
 {
-    // Calls come at any moment of the time for which the loop is late, so half of it on average.
-    return lag.slow ? lag.behind / 2 : Microseconds(0);
+    return lag.slow;
 }
 
 } // namespace foxwing::lag
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -167,7 +167,7 @@
     if (tasks == 0 || tasks > scheduler.settings.mostTasksPerJob)
         return "a job needs at least one task, and at most the number in the settings";
     if (heldTooLong(job, now) && scheduler.settings.refuseLate)
-        return "it waited too long for the queues to be known";
+        return "it waited too long before it could be taken up";
     const Microseconds wait = expectedWait(scheduler, job);
     const Microseconds objective = job.objectiveAt - job.arrivedAt;
     if (wait > scaled(std::chrono::duration_cast<Milliseconds>(objective),
