Soak: entries that run slow for seconds

Cause: the soak stops processes for long, never makes one slow; nothing played standing back.

Change: an entry is stopped for 34 of each 40 ms for 1 to 5 s, drawn apart from the other faults, which leave it alone meanwhile; entries stand back above 10 ms. The same promises are checked.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -4,9 +4,9 @@
     tools/soak/soak.py --daemon build/apps/foxwingd --seed 1 --seconds 20
 
 Every process of the fleet listens behind a proxy on loopback that can delay, reset, silence or cut one way
-what goes through it. Faults come in series and overlap: signals that kill, stop, pause and restart; the
-proxies; endpoints that crash and hang; catalogs that change. Callers send a job again after their
-connection broke. The promises are checked while it runs, from what callers, operators and endpoints see:
+what goes through it. Faults come in series and overlap: signals that kill, stop, pause and restart; entries
+that run slow; the proxies; endpoints that crash and hang; catalogs that change. Callers send a job again after
+their connection broke. The promises are checked while it runs, from what callers, operators and endpoints see:
 
 - the room of an endpoint is never exceeded, and a task never has two runs at once;
 - "completed" means that each task of the job ended as done; "not run" that none began for that call;
@@ -34,6 +34,12 @@
 RESEND_S = 1.3
 INNER_PORT = 7720
 
+# An entry that runs slow is stopped but for the last part of each period.
+SLOW_PERIOD_S, SLOW_RUNS_S = 0.04, 0.006
+
+# Below what such an entry is late, and above what one is that shares its machine with the whole fleet.
+STAND_BACK_ABOVE_MS = 10
+
 # A program is loaded and at work after this long, on a busy machine too.
 LOADED_S = 0.7
 
@@ -192,8 +198,8 @@
         # that what else a seed plays stays the same.
         subset = random.Random(options.seed).choice([0, max(1, options.agents // 3)])
         for entry in self.entries:
-            entry.policy = (f"\n[policy]\nsubset_size = {subset}\nentries_per_agent = 1\n"
-                            if subset else "")
+            entry.policy = (f"\n[policy]\nstand_back_above_milliseconds = {STAND_BACK_ABOVE_MS}\n"
+                            + (f"subset_size = {subset}\nentries_per_agent = 1\n" if subset else ""))
         self.endpoints = [standins.Endpoint(agent.number, agent.endpoint, agent.port, ledger, CAPACITY)
                           for agent in self.agents]
         for agent, endpoint in zip(self.agents, self.endpoints):
@@ -203,6 +209,8 @@
                         for p in self.agents + self.controls}
         self.busy, self.counts = set(), {}
         self.version, self.acknowledged, self.jobs = 0, 0, 0
+        # Drawn apart as well
+        self.slowed, self.slowness = set(), random.Random(options.seed)
         self.stopping = False
 
     def count(self, what):
@@ -265,7 +273,7 @@
 
     def pick(self, among):
         """A process with no fault on it; at most two control hosts at a time have one."""
-        free = [p for p in among if p.name not in self.busy]
+        free = [p for p in among if p.name not in self.busy | self.slowed]
         lost = sum(1 for p in self.controls if p.name in self.busy)
         free = [p for p in free if p.role != "control" or lost < 2]
         return self.random.choice(free) if free else None
@@ -292,6 +300,25 @@
             process.signal(signal.SIGCONT)
         await self.on("pause", self.all, work)
 
+    async def slow(self):
+        """Runs by short turns, as with a small share of a processor."""
+        process, end = self.slowness.choice(self.entries), time.monotonic() + self.slowness.uniform(1, 5)
+        if process.name in self.busy:
+            return
+        self.count("slow")
+        self.slowed.add(process.name)
+        while time.monotonic() < end:
+            process.signal(signal.SIGSTOP)
+            await asyncio.sleep(SLOW_PERIOD_S - SLOW_RUNS_S)
+            process.signal(signal.SIGCONT)
+            await asyncio.sleep(SLOW_RUNS_S)
+        self.slowed.discard(process.name)
+
+    async def slow_entries(self):
+        while not self.stopping:
+            await asyncio.sleep(self.slowness.uniform(1, 4))
+            await self.slow()
+
     async def through_proxy(self, name, mode):
         async def work(process):
             self.proxies[process.name].mode = mode
@@ -366,7 +393,8 @@
                 self.acknowledged = 1
             await asyncio.sleep(0.1)
         await asyncio.sleep(1.5)
-        tasks = [asyncio.ensure_future(part()) for part in (self.caller, self.operator, self.faults)]
+        tasks = [asyncio.ensure_future(part()) for part in (self.caller, self.operator, self.faults,
+                                                            self.slow_entries)]
         await asyncio.sleep(self.seconds)
         self.stopping = True
         await asyncio.gather(*tasks)
