--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -103,6 +103,7 @@
     Time cameAt(const fabric::Exchange &exchange, std::optional<Time> heldSince, Time now) const;
     void noteTurn(Time now);
     void tellStandingBack(Time now);
+    void addLagSamples(std::vector<metrics::Sample> &samples) const;
 
     void checkPause(Time now);
 
@@ -455,6 +456,16 @@
                            .with("behind_ms", m_lag.behind));
 }
 
+void EntryShell::addLagSamples(std::vector<metrics::Sample> &samples) const
+{
+    samples.push_back({ "foxwing_stood_back_total", "Times this entry stood back for being behind",
+                        static_cast<double>(m_lag.timesBack) });
+    samples.push_back({ "foxwing_standing_back", "1 while this entry stands back",
+                        lag::standsBack(m_lag) ? 1.0 : 0.0, true });
+    samples.push_back({ "foxwing_behind_ms", "How late turns of the loop were of late",
+                        toMilliseconds(m_lag.behind), true });
+}
+
 // [SECTION] Time
 
 void EntryShell::checkPause(Time now)
@@ -532,8 +543,6 @@
           count(counters.endpointsTried) },
         { "foxwing_not_found_total", "Calls without a queue", count(m_notFound) },
         { "foxwing_bad_requests_total", "Jobs that could not be read", count(m_badRequests) },
-        { "foxwing_stood_back_total", "Times this entry stood back for being behind",
-          count(m_lag.timesBack) },
     };
     const auto gauge = [&](const char *name, const char *help, std::size_t value) {
         samples.push_back({ name, help, static_cast<double>(value), true });
@@ -549,10 +558,7 @@
           endpointsWithoutQueue());
     gauge("foxwing_control_hosts", "Control hosts in touch", m_control.connected());
     gauge("foxwing_catalog_version", "Catalog in force", m_catalog.version);
-    gauge("foxwing_standing_back", "1 while this entry stands back",
-          lag::standsBack(m_lag) ? 1 : 0);
-    samples.push_back({ "foxwing_behind_ms", "How late turns of the loop were of late",
-                        toMilliseconds(m_lag.behind), true });
+    addLagSamples(samples);
     return samples;
 }
 
