--- a/packages/fabric/tests/http_test.cpp
+++ b/packages/fabric/tests/http_test.cpp
@@ -6,6 +6,7 @@
     [SECTION] Client
 */
 #include <gtest/gtest.h>
+#include <thread>
 
 #include <boost/asio/write.hpp>
 
@@ -176,7 +177,7 @@
     client.call(Request(http::verb::get, "/", 11), Patience,
                 [&](CallResult got) { result = std::move(got); });
     ASSERT_TRUE(site.until([&] { return site.exchanges.size() == 1; }));
-    site.server.closeAfterAnswers();
+    site.server.setCloseAfterAnswers(true);
     site.server.stopAccepting();
     site.exchanges[0]->answer(makeResponse(200, "text/plain", "late"));
     ASSERT_TRUE(site.until([&] { return result.has_value(); }));
@@ -186,6 +187,98 @@
     EXPECT_TRUE(site.until([&] { return site.server.connections() == 0; }));
 }
 
+struct UnreadCase
+{
+    const char *name;
+
+    // For so long after the request was sent nobody reads
+    Milliseconds stoodStill;
+};
+
+class Unread : public testing::TestWithParam<UnreadCase>
+{ };
+
+// The second request on a connection counts from its own bytes.
+TEST_P(Unread, TimeOfARequestIsKnown)
+{
+    constexpr Milliseconds Coarse { 10 };
+    Site site;
+    site.answers = false;
+    Socket socket(site.io);
+    socket.connect(*parseEndpoint(site.address, nullptr));
+    for (const std::size_t number : { 1U, 2U }) {
+        const auto sent = std::chrono::steady_clock::now();
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        std::this_thread::sleep_for(GetParam().stoodStill);
+        ASSERT_TRUE(site.until([&] { return site.exchanges.size() == number; }));
+        const Milliseconds unread = site.exchanges.back()->sinceReceived();
+        const auto passed = std::chrono::duration_cast<Milliseconds>(
+                std::chrono::steady_clock::now() - sent);
+        EXPECT_GE(unread + Coarse, GetParam().stoodStill);
+        EXPECT_LE(unread, passed + Coarse);
+        site.exchanges.back()->answer(makeResponse(200, "text/plain", ""));
+        site.until([] { return false; }, Milliseconds(50));
+    }
+    socket.close();
+    EXPECT_TRUE(site.until([&] { return site.server.connections() == 0; }));
+    EXPECT_EQ(site.exchanges.back()->sinceReceived(), Milliseconds(0));
+}
+
+INSTANTIATE_TEST_SUITE_P(Fabric, Unread,
+                         testing::Values(UnreadCase { "ReadAtOnce", Milliseconds(0) },
+                                         UnreadCase { "ReadLate", Milliseconds(120) }),
+                         [](const auto &tested) { return tested.param.name; });
+
+struct ClosingCase
+{
+    const char *name;
+
+    // Whether answers close, at the first call, before its answer, and at the second call
+    bool atCall;
+    bool atAnswer;
+    bool atNext;
+
+    // Connections that the two calls take
+    std::size_t opened;
+};
+
+class Closing : public testing::TestWithParam<ClosingCase>
+{ };
+
+// What counts is the moment of the answer; a connection that was left open is used again.
+TEST_P(Closing, FollowsTheServersWish)
+{
+    Site site;
+    site.answers = false;
+    HttpClient client(site.io, site.address, {});
+    std::vector<bool> kept;
+    const auto call = [&](bool atCall, bool atAnswer) {
+        const std::size_t before = site.exchanges.size();
+        site.server.setCloseAfterAnswers(atCall);
+        client.call(Request(http::verb::get, "/", 11), Patience, [&](const CallResult &result) {
+            ASSERT_TRUE(result.response);
+            kept.push_back(result.response->keep_alive());
+        });
+        ASSERT_TRUE(site.until([&] { return site.exchanges.size() > before; }));
+        site.server.setCloseAfterAnswers(atAnswer);
+        site.exchanges.back()->answer(makeResponse(200, "text/plain", ""));
+        ASSERT_TRUE(site.until([&] { return kept.size() > before; }));
+        EXPECT_TRUE(site.until([&] { return site.server.connections() == (atAnswer ? 0U : 1U); }));
+    };
+    call(GetParam().atCall, GetParam().atAnswer);
+    call(GetParam().atNext, GetParam().atNext);
+    EXPECT_EQ(kept, std::vector<bool>({ !GetParam().atAnswer, !GetParam().atNext }));
+    EXPECT_EQ(client.opened(), GetParam().opened);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fabric, Closing,
+                         testing::Values(ClosingCase { "Never", false, false, false, 1 },
+                                         ClosingCase { "AndKeepsOpenAgain", true, true, false, 2 },
+                                         ClosingCase { "BegunDuringACall", false, true, true, 2 },
+                                         ClosingCase { "OverBeforeTheAnswer", true, false, false,
+                                                       1 }),
+                         [](const auto &tested) { return tested.param.name; });
+
 // [SECTION] Client
 
 TEST(FabricHttpClient, KeepsItsConnections)
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -198,8 +198,9 @@
     const std::uint64_t tasks = taskCount(job.spec);
     if (tasks == 0 || tasks > scheduler.settings.mostTasksPerJob)
         return "a job needs at least one task, and at most the number in the settings";
-    if (heldTooLong(job, now) && scheduler.settings.refuseLate)
-        return "it waited too long for the queues to be known";
+    const bool mayBeLate = scheduler.settings.serveLate && now < job.lateUntil;
+    if (heldTooLong(job, now) && scheduler.settings.refuseLate && !mayBeLate)
+        return "it waited too long before it could be taken up";
     return mustWaitTooLong(scheduler, job, now) ? "the work before it takes longer than it may wait"
                                                 : "";
 }
