--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -303,8 +303,8 @@
     // Begun later, it is worth nothing.
     Time worthUntil {};
 
-    // Begun by then, a late job still ends while its caller waits; onTimeUntil where its queue
-    // leaves no time beyond the objective.
+    // Begun by then, a late job still ends while its caller waits and its result is worth something;
+    // onTimeUntil where its queue leaves no time beyond the objective.
     Time lateUntil {};
 
     std::vector<Task> tasks;
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -58,7 +58,8 @@
                                                                     - job.arrivedAt);
     job.worthUntil = job.arrivedAt + scaled(objective, settings.lateFactor) - chain;
     const Time callerGone = terms.patienceUntil.value_or(Time::max());
-    job.lateUntil = std::max(job.onTimeUntil, std::min(callerGone - chain, terms.beginBy));
+    job.lateUntil = std::max(job.onTimeUntil,
+                             std::min({ callerGone - chain, terms.beginBy, job.worthUntil }));
     return job;
 }
 
