Late jobs do not hold up what has begun

Late jobs that are kept back counted for the limit of jobs that are looked through, and those that have begun and are too late come behind them in the queue: they were not looked at. A wide job of several steps was kept back for the room of its later steps, too.

Change: late jobs have a count of their own; a job that began late is worth finishing for as long as it might have begun, and its rank says so for no other job; a late job needs room for the steps that wait for no other.

--- a/packages/forecast/src/forecast.cpp
+++ b/packages/forecast/src/forecast.cpp
@@ -62,8 +62,10 @@
 {
     const std::int64_t task = std::max<std::int64_t>(1, taskMilliCores);
     double milliCores = 0;
-    for (const std::int64_t free : picture.free)
-        milliCores += static_cast<double>(free / task * task);
+    for (const std::int64_t free : picture.free) {
+        const std::int64_t tasks = free / task;
+        milliCores += static_cast<double>(tasks * task);
+    }
     return milliCores;
 }
 
--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -87,7 +87,7 @@
 // Adds up what agents tell of freed room.
 void addTold(SchedulerState &scheduler, Time now);
 
-// Whether there is room for all tasks of the job that are ready.
+// Whether there is room for all tasks with which a job that has not begun begins.
 bool fitsWhole(const SchedulerState &scheduler, const Job &job, Time now);
 
 // [SECTION] Ending
--- a/packages/scheduler/src/order.cpp
+++ b/packages/scheduler/src/order.cpp
@@ -80,12 +80,18 @@
 
 namespace {
 
+// Begun later, what is left of the job is worth nothing. Late jobs that were let begin are worth
+// finishing for as long as they might have begun.
+Time worthUntil(const SchedulerState &scheduler, const Job &job)
+{
+    const bool beganLate = scheduler.settings.serveLate && job.firstPlacedAt > job.onTimeUntil;
+    return beganLate ? std::max(job.worthUntil, job.lateUntil) : job.worthUntil;
+}
+
 Rank groupOf(const SchedulerState &scheduler, const Job &job, Time now)
 {
-    const Time worth = scheduler.settings.serveLate ? std::max(job.worthUntil, job.lateUntil)
-                                                    : job.worthUntil;
     if (job.runs > 0)
-        return now > worth ? Rank::Hopeless : Rank::Begun;
+        return now > worthUntil(scheduler, job) ? Rank::Hopeless : Rank::Begun;
     return job.onTimeUntil < now ? Rank::Late : Rank::OnTime;
 }
 
--- a/packages/scheduler/src/outlook.cpp
+++ b/packages/scheduler/src/outlook.cpp
@@ -112,15 +112,20 @@
 
 namespace {
 
+// Declared rooms can be absurd: sums of such ones must not overflow.
+constexpr double MostMilliCores = 1e12;
+
+std::int64_t roomOf(const jobs::StepSpec &step, std::uint32_t tasks)
+{
+    const double milliCores = static_cast<double>(step.room.milliCores) * tasks;
+    return static_cast<std::int64_t>(std::min(MostMilliCores, milliCores));
+}
+
 std::int64_t roomWanted(const Job &job)
 {
-    // Declared rooms can be absurd: sums of such ones must not overflow.
-    constexpr double MostMilliCores = 1e12;
     // A job that comes has no tasks yet.
     const jobs::StepSpec &step = job.spec.steps.front();
-    const std::uint32_t tasks = job.tasks.empty() ? step.tasks : job.waiting;
-    return static_cast<std::int64_t>(
-            std::min(MostMilliCores, static_cast<double>(step.room.milliCores) * tasks));
+    return roomOf(step, job.tasks.empty() ? step.tasks : job.waiting);
 }
 
 forecast::Wanted wantedBy(const Job &job, std::int64_t before)
@@ -245,6 +250,23 @@
     return kept;
 }
 
+namespace {
+
+// What the job takes when it begins: the steps that wait for no other.
+forecast::Wanted wantedToBegin(const Job &job)
+{
+    forecast::Wanted wanted { job.terms.priority, 0, 0, 0 };
+    for (const jobs::StepSpec &step : job.spec.steps) {
+        if (!step.after.empty())
+            continue;
+        wanted.taskMilliCores = std::max(wanted.taskMilliCores, step.room.milliCores);
+        wanted.milliCores += roomOf(step, step.tasks);
+    }
+    return wanted;
+}
+
+} // namespace
+
 bool fitsWhole(const SchedulerState &scheduler, const Job &job, Time now)
 {
     forecast::Picture picture;
@@ -254,7 +276,7 @@
                                { roomFor(scheduler, agent, job).milliCores, {}, 0, agent.heardAt },
                                now);
     }
-    return forecast::expectedWait(picture, wantedBy(job, 0)) == Milliseconds(0);
+    return forecast::expectedWait(picture, wantedToBegin(job)) == Milliseconds(0);
 }
 
 } // namespace foxwing::scheduler
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -306,7 +306,8 @@
 bool isKeptBack(const SchedulerState &scheduler, const Job &job, const PassedOver &passedOver,
                 Time now)
 {
-    return passedOver.others > 0 || !fitsWhole(scheduler, job, now);
+    return passedOver.others > 0 || passedOver.late >= scheduler.settings.mostPassedOver
+            || !fitsWhole(scheduler, job, now);
 }
 
 bool waitsOn(const SchedulerState &scheduler, const Job &job)
@@ -319,7 +320,7 @@
 {
     PassedOver passedOver;
     for (const QueueKey &key : sortOut(scheduler, now)) {
-        if (passedOver.others + passedOver.late >= scheduler.settings.mostPassedOver)
+        if (passedOver.others >= scheduler.settings.mostPassedOver)
             break;
         Job &job = scheduler.jobs.at(key.number);
         if (!hasReadyTask(job))
--- a/packages/scheduler/tests/outlook_test.cpp
+++ b/packages/scheduler/tests/outlook_test.cpp
@@ -67,7 +67,7 @@
         spec.traits = traits;
         spec.steps.resize(1);
         spec.steps[0].tasks = tasks;
-        spec.steps[0].room = { 1000 / tasks, 10, 0 };
+        spec.steps[0].room = { taskCores, 10, 0 };
         spec.steps[0].estimate = Milliseconds(100);
         JobTerms its = terms();
         if (patience)
@@ -80,6 +80,7 @@
     std::vector<jobs::WaitingRoom> waiting;
     std::uint32_t freedPerSecond = 0;
     std::optional<Milliseconds> timeout;
+    std::int64_t taskCores = 1000;
 };
 
 std::vector<std::string> startedIn(const SchedulerActions &actions)
@@ -258,6 +259,9 @@
                                                       {},
                                                       Milliseconds(100),
                                                       true },
+                                         WaitOnCase { "NotIfItWouldBeginAfterTheTimeout", true,
+                                                      2500, Milliseconds(5000), Milliseconds(300),
+                                                      Milliseconds(100), true },
                                          WaitOnCase { "NotBeyondTheQueuesTimeout", true, 10000,
                                                       Milliseconds(1000), Milliseconds(300),
                                                       Milliseconds(300), true },
@@ -273,9 +277,10 @@
     // For how long the agent tells of free room
     Milliseconds rested;
     std::uint32_t tasks;
+    std::int64_t taskCores;
     std::int64_t free;
 
-    // Another job of the size of the agent waits, and can be on time
+    // Another job of the size of the agent waits, and can be on time for 160 ms
     bool onTimeWaits;
     std::vector<std::string> started;
 };
@@ -283,16 +288,21 @@
 class LateStarts : public testing::TestWithParam<LateStartCase>
 { };
 
-// A late job of one core in all, which waits on.
+// A late job that waits on, at an agent of one core.
 TEST_P(LateStarts, TakeOnlyRoomThatNobodyElseWants)
 {
     BusyBench bench(withForecast(true));
     bench.freedPerSecond = 10000;
     bench.tell(0);
+    bench.taskCores = GetParam().taskCores;
     bench.submitPatient("late", Milliseconds(1000), GetParam().tasks);
     ASSERT_TRUE(bench.wait(Milliseconds(200), 0).answers.empty());
+    jobs::StepSpec step;
+    step.tasks = 1;
+    step.room = { 1000, 10, 0 };
+    step.estimate = Milliseconds(1000);
     if (GetParam().onTimeWaits)
-        bench.submit("on-time", 1);
+        bench.submit("on-time", { step });
     EXPECT_EQ(startedIn(bench.wait(GetParam().rested, GetParam().free)), GetParam().started);
 }
 
@@ -300,14 +310,63 @@
         Scheduler, LateStarts,
         testing::Values(
                 LateStartCase {
-                        "RoomThatStaysFree", Milliseconds(120), 1, 1000, false, { "late" } },
-                LateStartCase { "NotRoomThatIsJustFree", Milliseconds(20), 1, 1000, false, {} },
-                LateStartCase { "AsAWhole", Milliseconds(120), 2, 1000, false, { "late" } },
-                LateStartCase { "NotInPart", Milliseconds(120), 2, 500, false, {} },
-                LateStartCase { "OnTimeGoesFirst", Milliseconds(20), 1, 1000, true, { "on-time" } },
-                LateStartCase { "NotWhileOnTimeWaits", Milliseconds(40), 2, 500, true, {} }),
+                        "RoomThatStaysFree", Milliseconds(120), 1, 1000, 1000, false, { "late" } },
+                LateStartCase {
+                        "NotRoomThatIsJustFree", Milliseconds(20), 1, 1000, 1000, false, {} },
+                LateStartCase { "AsAWhole", Milliseconds(120), 2, 500, 1000, false, { "late" } },
+                LateStartCase { "NotInPart", Milliseconds(120), 2, 500, 500, false, {} },
+                LateStartCase {
+                        "OnTimeGoesFirst", Milliseconds(20), 1, 1000, 1000, true, { "on-time" } },
+                LateStartCase { "RoomThatIsTooSmallForOthers",
+                                Milliseconds(120),
+                                1,
+                                500,
+                                500,
+                                false,
+                                { "late" } },
+                LateStartCase { "NotWhileOnTimeWaits", Milliseconds(120), 1, 500, 500, true, {} }),
         [](const auto &tested) { return tested.param.name; });
 
+// Its later steps need no room yet.
+TEST(LateStart, NeedsRoomForItsFirstStepOnly)
+{
+    BusyBench bench(withForecast(true));
+    bench.freedPerSecond = 20000;
+    bench.tell(0);
+    jobs::JobSpec spec;
+    spec.id = "late";
+    spec.traits = bench.traits;
+    spec.steps.resize(2);
+    spec.steps[0].tasks = spec.steps[1].tasks = 1;
+    spec.steps[0].room = spec.steps[1].room = { 1000, 10, 0 };
+    spec.steps[0].estimate = spec.steps[1].estimate = Milliseconds(50);
+    spec.steps[1].after = { 0 };
+    JobTerms terms = bench.terms();
+    terms.patienceUntil = bench.now + Milliseconds(1000);
+    submit(bench.scheduler, spec, terms, bench.now, &bench.number);
+    ASSERT_TRUE(bench.wait(Milliseconds(200), 0).answers.empty());
+    EXPECT_EQ(startsIn(bench.wait(Milliseconds(120), 1000)), 1U);
+}
+
+// What a job that has begun holds would be wasted.
+TEST(LateStart, DoesNotHoldUpWhatHasBegun)
+{
+    SchedulerSettings settings = withForecast(true);
+    settings.mostPassedOver = 1;
+    BusyBench bench(settings);
+    bench.freedPerSecond = 20000;
+    bench.report("agent-0", { endOf("running", 0, 1, RunEnd::Done) }, 1000);
+    bench.submit("begun", 2);
+    bench.wait(Milliseconds(400), 0);
+    bench.taskCores = 600;
+    bench.timeout = Milliseconds(9000);
+    bench.submitPatient("late", Milliseconds(9000), 2);
+    bench.wait(Milliseconds(200), 0);
+    ASSERT_EQ(bench.scheduler.queue.rbegin()->group, Rank::Hopeless);
+    EXPECT_EQ(outlook(bench.scheduler, bench.now).waitingLate, 1U);
+    EXPECT_EQ(startedIn(bench.wait(Milliseconds(20), 1000)), std::vector<std::string> { "begun" });
+}
+
 // A start that waits at an agent holds room back from all that is on time.
 TEST(LateStart, NeverWaitsAtAnAgent)
 {
