Shares: what queues are served of what they ask for, and a floor for it (first form)

Cause: with starts of more urgent queues waiting at agents the least urgent queue is starved in an overload. Change: fading sums of work asked and refused by queue (packages/shares); a queue below its floor is ordered, here and at agents, as the least urgent queue above its floor that is not the most urgent. Off by default.

--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -34,6 +34,7 @@
 #include <foxwing/eventlog/eventlog.h>
 #include <foxwing/jobs/messages.h>
 #include <foxwing/scheduler/runtimes.h>
+#include <foxwing/shares/shares.h>
 
 namespace foxwing::scheduler {
 
@@ -140,6 +141,9 @@
 
     WaitingQueues waitingQueues = WaitingQueues::MostUrgent;
 
+    // What each queue is to be served of the work that it asks for, whatever its priority
+    shares::ShareSettings shares;
+
     // A start waits at an agent for no longer; then another one may be better.
     Milliseconds mostWait { 50 };
 
@@ -303,7 +307,10 @@
 
     // A job with the same id whose runs are not over yet
     std::uint64_t waitsFor = 0;
+
+    // What it is queued under
     Rank group = Rank::OnTime;
+    std::uint32_t queuedPriority = 0;
 
     // The work that waited when the job was queued, in thousandths of a core times milliseconds;
     // only where the order goes by it
@@ -351,6 +358,17 @@
     }
 };
 
+// How a queue stands beside the others of its service.
+struct QueueStanding
+{
+    std::string service;
+    std::uint32_t priority = 0;
+
+    // What its jobs go by: its priority, or a more urgent one while it is below its floor
+    std::uint32_t effective = 0;
+    bool belowFloor = false;
+};
+
 // Room that ended runs gave back, with old ends fading: what waits here can count on it.
 struct FreedRoom
 {
@@ -410,6 +428,10 @@
     // By service
     std::map<std::string, FreedRoom> freed;
 
+    // What queues were served of late, and by queue how each stands for that
+    shares::ShareState shares;
+    std::map<std::string, QueueStanding> standings;
+
     // Priorities of the jobs that came since the declared queues changed last
     std::uint32_t mostUrgent = std::numeric_limits<std::uint32_t>::max();
     std::uint32_t leastUrgent = 0;
@@ -496,6 +518,10 @@
 // Other data centres are cordoned: nothing more goes there, and what waits looks for room anew.
 SchedulerActions takeCordons(SchedulerState &scheduler, const catalog::Cordons &cordons, Time now);
 
+// What the job is ordered by, here and at agents: the priority of its queue, or a more urgent one
+// while the queue is below its floor.
+std::uint32_t effectivePriority(const SchedulerState &scheduler, const Job &job);
+
 // Whether some endpoint of some service could take work.
 bool reachesEndpoints(const SchedulerState &scheduler);
 
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -118,11 +118,12 @@
     const auto freed = scheduler.freed.find(wanted.terms.service);
     if (freed == scheduler.freed.end() || scheduler.settings.refuseAtArrivalPercent == 0)
         return false;
+    const std::uint32_t priority = effectivePriority(scheduler, wanted);
     double waiting = 0;
     for (const QueueKey &key : scheduler.queue) {
         const Job &job = scheduler.jobs.at(key.number);
         if (key.group > Rank::OnTime || job.terms.service != wanted.terms.service
-            || (key.group == Rank::OnTime && job.terms.priority > wanted.terms.priority))
+            || (key.group == Rank::OnTime && job.queuedPriority > priority))
             continue;
         waiting += static_cast<double>(job.waiting)
                 * static_cast<double>(job.spec.steps.front().room.milliCores);
@@ -148,6 +149,15 @@
     return !any;
 }
 
+bool isPossible(const SchedulerState &scheduler, const Job &job)
+{
+    const std::vector<jobs::StepSpec> &steps = job.spec.steps;
+    return job.terms.suitableElsewhere
+            || std::all_of(steps.begin(), steps.end(), [&](const jobs::StepSpec &step) {
+                   return anySuits(scheduler, job, step);
+               });
+}
+
 // Whether a call that waited before it was submitted has lost its time by that. One whose queue
 // leaves it no time from the start has lost nothing, and is tried like any other.
 bool heldTooLong(const Job &job, Time now)
@@ -155,7 +165,7 @@
     return job.terms.cameAt && job.latestBegin > job.arrivedAt && now > job.latestBegin;
 }
 
-// Why a job is not taken; empty if it is.
+// Why a job is not taken whatever room there is; empty if it may be.
 std::string refusal(const SchedulerState &scheduler, const Job &job, Time now)
 {
     if (scheduler.jobs.size() >= scheduler.settings.mostJobs)
@@ -168,13 +178,17 @@
         return "a job needs at least one task, and at most the number in the settings";
     if (heldTooLong(job, now) && scheduler.settings.refuseLate)
         return "it waited too long for the queues to be known";
+    return "";
+}
+
+// Whether the work before the job takes longer than it may wait.
+bool lacksRoom(const SchedulerState &scheduler, const Job &job, Time now)
+{
     const Microseconds wait = expectedWait(scheduler, job);
     const Microseconds objective = job.objectiveAt - job.arrivedAt;
-    if (wait > scaled(std::chrono::duration_cast<Milliseconds>(objective),
-                      scheduler.settings.refuseAbove)
-        || waitsTooLong(scheduler, job, now))
-        return "the work before it takes longer than it may wait";
-    return "";
+    return wait > scaled(std::chrono::duration_cast<Milliseconds>(objective),
+                         scheduler.settings.refuseAbove)
+            || waitsTooLong(scheduler, job, now);
 }
 
 // Whether the job was given up of late since endpoints crashed under it. Forgets who is past that.
@@ -227,9 +241,16 @@
         refuse(scheduler, job, JobOutcome::NotRun, why, now, actions);
         return actions;
     }
-    const bool possible = terms.suitableElsewhere
-            || std::all_of(spec.steps.begin(), spec.steps.end(),
-                           [&](const auto &step) { return anySuits(scheduler, job, step); });
+    const bool possible = isPossible(scheduler, job);
+    if (possible)
+        noteAskedJob(scheduler, job, now);
+    if (lacksRoom(scheduler, job, now)) {
+        if (possible)
+            noteRefusedJob(scheduler, job, now);
+        refuse(scheduler, job, JobOutcome::NotRun,
+               "the work before it takes longer than it may wait", now, actions);
+        return actions;
+    }
     if (!possible) {
         refuse(scheduler, job, JobOutcome::Failed, "no endpoint of its service could ever run it",
                now, actions);
--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -3,6 +3,7 @@
 
     [SECTION] Placing
     [SECTION] Freed room
+    [SECTION] Floors
     [SECTION] Ending
 */
 #pragma once
@@ -58,6 +59,17 @@
 // Thousandths of a core that came free in a millisecond, of late.
 double freedPerMillisecond(const SchedulerState &scheduler, const FreedRoom &freed, Time now);
 
+// [SECTION] Floors
+
+// A job has come that endpoints could serve; such a job is refused since room lacks.
+void noteAskedJob(SchedulerState &scheduler, const Job &job, Time now);
+void noteRefusedJob(SchedulerState &scheduler, const Job &job, Time now);
+
+// Finds the queues that are below their floor, and what their jobs go by.
+void updateStandings(SchedulerState &scheduler, Time now, SchedulerActions &actions);
+
+bool isBelowFloor(const SchedulerState &scheduler, const Job &job);
+
 // [SECTION] Ending
 
 void answerJob(SchedulerState &scheduler, Job &job, JobOutcome outcome, const std::string &reason,
--- a/packages/scheduler/src/order.cpp
+++ b/packages/scheduler/src/order.cpp
@@ -41,7 +41,7 @@
         break;
     case Order::LeastWork:
     case Order::Priority:
-        key.priority = job.terms.priority;
+        key.priority = job.queuedPriority;
         [[fallthrough]];
     case Order::LatestBegin:
         key.group = job.group;
@@ -62,6 +62,7 @@
         return;
     if (scheduler.settings.order == Order::LeastWork)
         job.leftWhenQueued = workLeft(job);
+    job.queuedPriority = effectivePriority(scheduler, job);
     scheduler.queue.insert(keyOf(scheduler, job));
     scheduler.untried = true;
 }
@@ -84,14 +85,14 @@
 
 } // namespace
 
-// The keys to be looked at, after each job has found its group.
+// The keys to be looked at, after each job has found its group and priority.
 std::vector<QueueKey> sortOut(SchedulerState &scheduler, Time now)
 {
     const std::vector<QueueKey> before(scheduler.queue.begin(), scheduler.queue.end());
     for (const QueueKey &key : before) {
         Job &job = scheduler.jobs.at(key.number);
         const Rank group = groupOf(job, now);
-        if (group == job.group)
+        if (group == job.group && effectivePriority(scheduler, job) == job.queuedPriority)
             continue;
         dequeue(scheduler, job);
         job.group = group;
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -188,7 +188,7 @@
 
 jobs::StartTasks &messageFor(std::vector<std::pair<std::string, jobs::StartTasks>> &messages,
                              const std::string &agent, const Job &job, const Task &task,
-                             Milliseconds wait)
+                             std::uint32_t priority, Milliseconds wait)
 {
     for (auto &[to, message] : messages) {
         if (to == agent && message.step == task.step && message.estimate == task.expected)
@@ -201,7 +201,7 @@
     message.payload = job.spec.payload;
     message.room = spec.room;
     message.estimate = task.expected;
-    message.priority = job.terms.priority;
+    message.priority = priority;
     message.mayWait = wait;
     messages.emplace_back(agent, std::move(message));
     return messages.back().second;
@@ -213,10 +213,11 @@
     const bool all = scheduler.settings.waitingQueues == WaitingQueues::AllButLeast;
     const bool first = job.terms.priority < scheduler.leastUrgent
             && (all || job.terms.priority <= scheduler.mostUrgent);
+    const bool waits = first || isBelowFloor(scheduler, job);
     // What is late and has not begun is refused at the next tick.
     const bool late = scheduler.settings.refuseLate && now > job.onTimeUntil
             && certainlyNotBegun(job);
-    if (scheduler.settings.waitPercent <= 0 || !first || late)
+    if (scheduler.settings.waitPercent <= 0 || !waits || late)
         return Milliseconds(0);
     constexpr Milliseconds Least { 10 };
     const auto slack = std::chrono::duration_cast<Milliseconds>(job.latestBegin - now);
@@ -228,6 +229,7 @@
               SchedulerActions &actions)
 {
     std::vector<std::pair<std::string, jobs::StartTasks>> messages;
+    const std::uint32_t priority = effectivePriority(scheduler, job);
     const Milliseconds wait = waitFor(scheduler, job, now);
     bool all = true;
     for (Task &task : job.tasks) {
@@ -253,7 +255,7 @@
         ++scheduler.counters.starts;
         agent->pending.push_back({ ++agent->startsSent, job.spec.steps[task.step].room });
         agent->sentAt = now;
-        messageFor(messages, name, job, task, wait).starts.push_back({ task.index, task.run });
+        messageFor(messages, name, job, task, priority, wait).starts.push_back({ task.index, task.run });
     }
     if (!messages.empty() && job.firstPlacedAt == Time {})
         job.firstPlacedAt = now;
--- a/packages/scheduler/src/scheduler.cpp
+++ b/packages/scheduler/src/scheduler.cpp
@@ -102,6 +102,7 @@
 {
     SchedulerState scheduler;
     scheduler.settings = settings;
+    scheduler.shares.settings = settings.shares;
     scheduler.random.seed(settings.seed);
     return scheduler;
 }
@@ -336,6 +337,8 @@
     for (const std::uint64_t number : over) {
         Job &job = scheduler.jobs.at(number);
         const bool notRun = certainlyNotBegun(job);
+        if (notRun)
+            noteRefusedJob(scheduler, job, now);
         answerJob(scheduler, job, notRun ? JobOutcome::NotRun : JobOutcome::TimedOut,
                   notRun ? "no room came free in time" : "its time is over", now, actions);
     }
@@ -349,6 +352,7 @@
     beatAgents(scheduler, now, actions);
     freeCertain(scheduler, now);
     giveUpLate(scheduler, now, actions);
+    updateStandings(scheduler, now, actions);
     place(scheduler, now, actions);
     return actions;
 }
@@ -374,6 +378,9 @@
 {
     for (auto item = scheduler.runTimes.begin(); item != scheduler.runTimes.end();)
         item = declared.count(item->first) == 0 ? scheduler.runTimes.erase(item) : std::next(item);
+    shares::keepQueues(scheduler.shares, declared);
+    for (auto item = scheduler.standings.begin(); item != scheduler.standings.end();)
+        item = declared.count(item->first) == 0 ? scheduler.standings.erase(item) : std::next(item);
     scheduler.mostUrgent = std::numeric_limits<std::uint32_t>::max();
     scheduler.leastUrgent = 0;
 }
--- a/packages/shares/include/foxwing/shares/shares.h
+++ b/packages/shares/include/foxwing/shares/shares.h
@@ -34,18 +34,24 @@
     // there is no floor, and priorities alone decide.
     std::uint32_t floorPercent = 0;
 
-    // What was asked and refused counts for about this long.
+    // What was asked and refused counts for about this long: some jobs of each queue, and less than
+    // an overload. It keeps a queue from changing its standing with each job.
     Milliseconds span { 2000 };
 };
 
 // [SECTION] State
 
-// Work in thousandths of a core times milliseconds, old work fading
+// What one queue asked for and was refused
 struct QueueShare
 {
+    // Work in thousandths of a core times milliseconds, old work fading
     double asked = 0;
     double refused = 0;
     Time at {};
+
+    // Jobs since the queue was declared
+    std::uint64_t askedJobs = 0;
+    std::uint64_t refusedJobs = 0;
 };
 
 struct ShareState
@@ -62,7 +68,8 @@
 // Such a job was refused since room lacked.
 void noteRefused(ShareState &shares, const std::string &queue, std::int64_t work, Time now);
 
-// What was served of what was asked of late; 100 for a queue that asked for nothing.
+// What was not refused of what was asked of late, work that still waits included; 100 for a queue
+// that asked for nothing.
 std::uint32_t servedPercent(const ShareState &shares, const std::string &queue, Time now);
 
 bool isBelowFloor(const ShareState &shares, const std::string &queue, Time now);
--- a/packages/shares/src/shares.cpp
+++ b/packages/shares/src/shares.cpp
@@ -1,1 +1,84 @@
+/*
+    Fading sums of what queues asked for and were refused.
+
+    [SECTION] Sums
+    [SECTION] Functions
+*/
 #include <foxwing/shares/shares.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace foxwing::shares {
+
+// [SECTION] Sums
+
+namespace {
+
+// A queue that was not heard of for so many spans has asked for nothing of late: both sums fade
+// alike, so their ratio alone would hold one refusal against it for ever.
+constexpr int ForgottenAfterSpans = 3;
+
+void fade(const ShareSettings &settings, QueueShare &share, Time now)
+{
+    const double spans = std::chrono::duration<double>(now - share.at)
+            / std::chrono::duration<double>(settings.span);
+    const double part = std::exp(-std::max(0.0, spans));
+    share.asked *= part;
+    share.refused *= part;
+    share.at = std::max(share.at, now);
+}
+
+QueueShare &fadedShare(ShareState &shares, const std::string &queue, Time now)
+{
+    QueueShare &share = shares.queues[queue];
+    fade(shares.settings, share, now);
+    return share;
+}
+
+} // namespace
+
+// [SECTION] Functions
+
+void noteAsked(ShareState &shares, const std::string &queue, std::int64_t work, Time now)
+{
+    QueueShare &share = fadedShare(shares, queue, now);
+    share.asked += static_cast<double>(std::max<std::int64_t>(0, work));
+    ++share.askedJobs;
+}
+
+void noteRefused(ShareState &shares, const std::string &queue, std::int64_t work, Time now)
+{
+    QueueShare &share = fadedShare(shares, queue, now);
+    share.refused += static_cast<double>(std::max<std::int64_t>(0, work));
+    ++share.refusedJobs;
+}
+
+std::uint32_t servedPercent(const ShareState &shares, const std::string &queue, Time now)
+{
+    constexpr double All = 100;
+    const auto found = shares.queues.find(queue);
+    if (found == shares.queues.end())
+        return static_cast<std::uint32_t>(All);
+    const QueueShare &share = found->second;
+    const bool quiet = now - share.at > shares.settings.span * ForgottenAfterSpans;
+    if (quiet || share.asked <= 0)
+        return static_cast<std::uint32_t>(All);
+    // A job is refused some time after it was asked for, so its refusal has faded less.
+    const double refused = std::min(1.0, share.refused / share.asked);
+    return static_cast<std::uint32_t>(std::lround(All * (1 - refused)));
+}
+
+bool isBelowFloor(const ShareState &shares, const std::string &queue, Time now)
+{
+    return servedPercent(shares, queue, now) < shares.settings.floorPercent;
+}
+
+void keepQueues(ShareState &shares, const std::set<std::string> &declared)
+{
+    for (auto item = shares.queues.begin(); item != shares.queues.end();)
+        item = declared.count(item->first) == 0 ? shares.queues.erase(item) : std::next(item);
+}
+
+} // namespace foxwing::shares
--- a/tests/rig/main.cpp
+++ b/tests/rig/main.cpp
@@ -25,6 +25,14 @@
     std::function<void(RigSettings &)> change;
 };
 
+Way floorWay(const char *name, std::uint32_t percent)
+{
+    return { name, [percent](RigSettings &s) {
+                s.scheduler.waitingQueues = foxwing::scheduler::WaitingQueues::AllButLeast;
+                s.scheduler.shares.floorPercent = percent;
+            } };
+}
+
 std::vector<Way> ways()
 {
     using foxwing::scheduler::Order;
@@ -34,6 +42,10 @@
           [](RigSettings &s) {
               s.scheduler.waitingQueues = foxwing::scheduler::WaitingQueues::AllButLeast;
           } },
+        floorWay("all but the least urgent queue wait at agents, floor 50 percent", 50),
+        floorWay("all but the least urgent queue wait at agents, floor 60 percent", 60),
+        floorWay("all but the least urgent queue wait at agents, floor 70 percent", 70),
+        floorWay("all but the least urgent queue wait at agents, floor 80 percent", 80),
         { "late jobs wait on", [](RigSettings &s) { s.scheduler.refuseLate = false; } },
         { "nothing waits at agents", [](RigSettings &s) { s.scheduler.waitPercent = 0; } },
         { "endpoints are not judged", [](RigSettings &s) { s.runner.judgeEndpoint = false; } },
