--- a/packages/fleet/src/entryshell.cpp
+++ b/packages/fleet/src/entryshell.cpp
@@ -448,6 +448,31 @@
             std::count_if(m_scheduler.agents.begin(), m_scheduler.agents.end(), unused));
 }
 
+// A series for each declared queue that jobs have come for.
+void addQueueSamples(const scheduler::SchedulerState &scheduler, Time now,
+                     std::vector<metrics::Sample> &samples)
+{
+    const auto add = [&](const char *name, const char *help, bool gauge, auto valueOf) {
+        for (const auto &[queue, standing] : scheduler.standings)
+            samples.push_back({ metrics::labelled(name, "queue", queue), help,
+                                static_cast<double>(valueOf(queue)), gauge });
+    };
+    const auto shareOf = [&](const std::string &queue) {
+        const auto found = scheduler.shares.queues.find(queue);
+        return found == scheduler.shares.queues.end() ? shares::QueueShare {} : found->second;
+    };
+    add("foxwing_queue_asked_total", "Jobs that endpoints could serve, by queue", false,
+        [&](const std::string &queue) { return shareOf(queue).askedJobs; });
+    add("foxwing_queue_refused_total", "Jobs refused for want of room, by queue", false,
+        [&](const std::string &queue) { return shareOf(queue).refusedJobs; });
+    add("foxwing_queue_served_percent", "Work not refused of what was asked of late, by queue",
+        true, [&](const std::string &queue) {
+            return shares::servedPercent(scheduler.shares, queue, now);
+        });
+    add("foxwing_queue_below_floor", "Queues that are below their floor", true,
+        [&](const std::string &queue) { return scheduler.standings.at(queue).belowFloor ? 1 : 0; });
+}
+
 std::vector<metrics::Sample> EntryShell::samples() const
 {
     const scheduler::SchedulerCounters &counters = m_scheduler.counters;
@@ -488,6 +513,7 @@
           endpointsWithoutQueue());
     gauge("foxwing_control_hosts", "Control hosts in touch", m_control.connected());
     gauge("foxwing_catalog_version", "Catalog in force", m_catalog.version);
+    addQueueSamples(m_scheduler, steadyNow(), samples);
     return samples;
 }
 
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -129,6 +129,7 @@
     table.flag("refuse_late", policy.refuseLate);
     table.whole("refuse_at_arrival_percent", policy.refuseAtArrivalPercent, 0, 1000);
     table.whole("wait_percent", policy.waitPercent, 0, 100);
+    table.whole("floor_percent", policy.shares.floorPercent, 0, 100);
     table.flag("learn_run_times", policy.learnRunTimes);
     table.flag("move_runs", policy.moveRuns);
     table.whole("subset_size", settings.subset.least, 1, 100000);
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -42,6 +42,8 @@
 refuse_above = 1.5
 refuse_at_arrival_percent = 150
 wait_percent = 0
+waiting_queues = "all-but-least"
+floor_percent = 65
 away_percent = 40
 far_factor = 3
 subset_size = 12
@@ -74,6 +76,8 @@
     EXPECT_FALSE(settings->scheduler.refuseLate);
     EXPECT_EQ(settings->scheduler.refuseAtArrivalPercent, 150U);
     EXPECT_EQ(settings->scheduler.waitPercent, 0);
+    EXPECT_EQ(settings->scheduler.waitingQueues, scheduler::WaitingQueues::AllButLeast);
+    EXPECT_EQ(settings->scheduler.shares.floorPercent, 65U);
     EXPECT_EQ(settings->scheduler.placement, scheduler::Placement::MostRoom);
     EXPECT_FALSE(settings->scheduler.learnRunTimes);
     EXPECT_FALSE(settings->scheduler.moveRuns);
@@ -117,6 +121,8 @@
                 BadCase { "Order", "\"latest-begin\"", "\"sideways\"", "order" },
                 BadCase { "Placement", "\"most-room\"", "\"nowhere\"", "placement" },
                 BadCase { "Wait", "wait_percent = 0", "wait_percent = 101", "wait_percent" },
+                BadCase { "Waiting", "\"all-but-least\"", "\"all\"", "waiting_queues" },
+                BadCase { "Floor", "floor_percent = 65", "floor_percent = 101", "floor_percent" },
                 BadCase { "Away", "= 40", "= -1", "away_percent" },
                 BadCase { "Far", "far_factor = 3", "far_factor = 0.5", "far_factor" },
                 BadCase { "NoSubset", "subset_size = 12", "subset_size = 0", "subset_size" },
--- a/packages/metrics/include/foxwing/metrics/metrics.h
+++ b/packages/metrics/include/foxwing/metrics/metrics.h
@@ -90,6 +90,9 @@
 // Adds one observation.
 void observe(Metrics &metrics, const std::string &name, const Labels &labels, double value);
 
+// The name of a series with one label, for a sample.
+std::string labelled(const std::string &name, const std::string &label, const std::string &value);
+
 // The quantile of a histogram: probability 0.5, 0.95 or 0.99.
 double quantile(const Histogram &histogram, double probability);
 
--- a/packages/metrics/src/metrics.cpp
+++ b/packages/metrics/src/metrics.cpp
@@ -57,6 +57,15 @@
     return escaped;
 }
 
+} // namespace
+
+std::string labelled(const std::string &name, const std::string &label, const std::string &value)
+{
+    return name + "{" + label + "=\"" + escape(value) + "\"}";
+}
+
+namespace {
+
 std::string labelText(const Labels &labels)
 {
     return "team=\"" + escape(labels.team) + "\",class=\"" + escape(labels.workClass) + "\"";
--- a/packages/metrics/tests/metrics_test.cpp
+++ b/packages/metrics/tests/metrics_test.cpp
@@ -50,6 +50,8 @@
 
 TEST(Metrics, LabelsAreEscaped)
 {
+    EXPECT_EQ(labelled("slots", "queue", "a"), "slots{queue=\"a\"}");
+    EXPECT_EQ(labelled("slots", "queue", "x\"} 1\ny"), "slots{queue=\"x\\\"} 1\\ny\"}");
     Metrics metrics;
     observe(metrics, "response_ms", { "a", "x\"} 1\ny" }, 1);
     EXPECT_NE(writeExposition(metrics, {}).find("class=\"x\\\"} 1\\ny\""), std::string::npos);
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -348,13 +348,16 @@
 {
     Rank group = Rank::OnTime;
     std::uint32_t priority = 0;
+
+    // Of a queue below its floor: goes before others of the priority that it was raised to
+    bool raised = false;
     std::int64_t rank = 0;
     std::uint64_t number = 0;
 
     bool operator<(const QueueKey &other) const
     {
-        return std::tie(group, priority, rank, number)
-                < std::tie(other.group, other.priority, other.rank, other.number);
+        return std::tie(group, priority, other.raised, rank, number)
+                < std::tie(other.group, other.priority, raised, other.rank, other.number);
     }
 };
 
@@ -367,6 +370,10 @@
     // What its jobs go by: its priority, or a more urgent one while it is below its floor
     std::uint32_t effective = 0;
     bool belowFloor = false;
+
+    // A less urgent queue is below its floor, while this one is not: its starts do not wait at
+    // agents, where they would take all room that comes free.
+    bool yields = false;
 };
 
 // Room that ended runs gave back, with old ends fading: what waits here can count on it.
--- a/packages/scheduler/src/floors.cpp
+++ b/packages/scheduler/src/floors.cpp
@@ -1,13 +1,16 @@
 /*
     Queues that are below their floor: what their jobs go by until they are above it again.
 
-    A floor never moves the most urgent queue back, and a queue is raised only beside one that is
-    served above its own floor: where all are below, their priorities decide.
+    A floor never moves the most urgent queue back, and only queues above their own floor give way:
+    where all are below, their priorities decide. A queue that gives way stands behind the raised
+    one here, and its starts do not wait at agents: of many entries each would else hold the room
+    that comes free for its own, and the raised queue would find none.
 
     [SECTION] Work
     [SECTION] Standings
 */
 #include <algorithm>
+#include <limits>
 
 #include "internal.h"
 
@@ -54,22 +57,37 @@
 
 namespace {
 
-// The least urgent queue above its floor that goes before this one but is not the most urgent: the
-// two then compete on equal terms. Without one the queue keeps its priority.
-std::uint32_t raisedPriority(const SchedulerState &scheduler, const QueueStanding &standing)
+// Whether the queue can give way: one of the same service that is neither the most urgent nor below
+// its own floor.
+bool canYield(const QueueStanding &standing, const std::string &service, std::uint32_t mostUrgent)
 {
-    std::uint32_t most = standing.priority;
-    for (const auto &[name, other] : scheduler.standings) {
-        if (other.service == standing.service)
-            most = std::min(most, other.priority);
+    return standing.service == service && standing.priority > mostUrgent && !standing.belowFloor;
+}
+
+std::uint32_t mostUrgentOf(const SchedulerState &scheduler, const std::string &service)
+{
+    std::uint32_t most = std::numeric_limits<std::uint32_t>::max();
+    for (const auto &[name, standing] : scheduler.standings) {
+        if (standing.service == service)
+            most = std::min(most, standing.priority);
     }
-    std::uint32_t raised = most;
-    for (const auto &[name, other] : scheduler.standings) {
-        if (other.service == standing.service && !other.belowFloor
-            && other.priority < standing.priority)
-            raised = std::max(raised, other.priority);
+    return most;
+}
+
+// Before the least urgent of the more urgent queues that can give way, which are told to; where
+// there is none the queue keeps its priority.
+void raise(SchedulerState &scheduler, QueueStanding &raised)
+{
+    const std::uint32_t most = mostUrgentOf(scheduler, raised.service);
+    std::uint32_t beside = most;
+    for (auto &[name, standing] : scheduler.standings) {
+        if (standing.priority >= raised.priority || !canYield(standing, raised.service, most))
+            continue;
+        standing.yields = true;
+        beside = std::max(beside, standing.priority);
     }
-    return raised > most ? raised : standing.priority;
+    if (beside > most)
+        raised.effective = beside;
 }
 
 void logChange(const SchedulerState &scheduler, const std::string &queue,
@@ -93,15 +111,20 @@
         standing.belowFloor = below;
         logChange(scheduler, queue, standing, now, actions);
     }
-    for (auto &[queue, standing] : scheduler.standings)
-        standing.effective = standing.belowFloor ? raisedPriority(scheduler, standing)
-                                                 : standing.priority;
+    for (auto &[queue, standing] : scheduler.standings) {
+        standing.effective = standing.priority;
+        standing.yields = false;
+    }
+    for (auto &[queue, standing] : scheduler.standings) {
+        if (standing.belowFloor)
+            raise(scheduler, standing);
+    }
 }
 
-bool isBelowFloor(const SchedulerState &scheduler, const Job &job)
+bool yields(const SchedulerState &scheduler, const Job &job)
 {
     const auto found = scheduler.standings.find(job.terms.queue);
-    return found != scheduler.standings.end() && found->second.belowFloor;
+    return found != scheduler.standings.end() && found->second.yields;
 }
 
 std::uint32_t effectivePriority(const SchedulerState &scheduler, const Job &job)
--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -68,7 +68,9 @@
 // Finds the queues that are below their floor, and what their jobs go by.
 void updateStandings(SchedulerState &scheduler, Time now, SchedulerActions &actions);
 
-bool isBelowFloor(const SchedulerState &scheduler, const Job &job);
+// Whether the job's starts are not to wait at agents, so that a less urgent queue that is below its
+// floor gets some of the freed room.
+bool yields(const SchedulerState &scheduler, const Job &job);
 
 // [SECTION] Ending
 
--- a/packages/scheduler/src/order.cpp
+++ b/packages/scheduler/src/order.cpp
@@ -42,6 +42,7 @@
     case Order::LeastWork:
     case Order::Priority:
         key.priority = job.queuedPriority;
+        key.raised = job.queuedPriority < job.terms.priority;
         [[fallthrough]];
     case Order::LatestBegin:
         key.group = job.group;
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -213,11 +213,10 @@
     const bool all = scheduler.settings.waitingQueues == WaitingQueues::AllButLeast;
     const bool first = job.terms.priority < scheduler.leastUrgent
             && (all || job.terms.priority <= scheduler.mostUrgent);
-    const bool waits = first || isBelowFloor(scheduler, job);
     // What is late and has not begun is refused at the next tick.
     const bool late = scheduler.settings.refuseLate && now > job.onTimeUntil
             && certainlyNotBegun(job);
-    if (scheduler.settings.waitPercent <= 0 || !waits || late)
+    if (scheduler.settings.waitPercent <= 0 || !first || late || yields(scheduler, job))
         return Milliseconds(0);
     constexpr Milliseconds Least { 10 };
     const auto slack = std::chrono::duration_cast<Milliseconds>(job.latestBegin - now);
@@ -255,7 +254,8 @@
         ++scheduler.counters.starts;
         agent->pending.push_back({ ++agent->startsSent, job.spec.steps[task.step].room });
         agent->sentAt = now;
-        messageFor(messages, name, job, task, priority, wait).starts.push_back({ task.index, task.run });
+        messageFor(messages, name, job, task, priority, wait)
+                .starts.push_back({ task.index, task.run });
     }
     if (!messages.empty() && job.firstPlacedAt == Time {})
         job.firstPlacedAt = now;
--- a/tests/rig/main.cpp
+++ b/tests/rig/main.cpp
@@ -65,6 +65,24 @@
     };
 }
 
+void addQueue(foxwing::test::QueueReport &total, const foxwing::test::QueueReport &queue)
+{
+    total.asked += queue.asked;
+    total.inAim += queue.inAim;
+    total.late += queue.late;
+    total.refused += queue.refused;
+    total.failed += queue.failed;
+    total.largeAsked += queue.largeAsked;
+    total.largeInAim += queue.largeInAim;
+    total.largeRefused += queue.largeRefused;
+    for (const auto &[number, entry] : queue.entries) {
+        total.entries[number].asked += entry.asked;
+        total.entries[number].refused += entry.refused;
+    }
+    total.refusedAfter.insert(total.refusedAfter.end(), queue.refusedAfter.begin(),
+                              queue.refusedAfter.end());
+}
+
 // The reports of all seeds, added up.
 RigReport playSeeds(RigSettings (*spell)(std::uint64_t), const Way &way, std::uint64_t seeds)
 {
@@ -80,18 +98,8 @@
         sum.startsPerTask += part * one.startsPerTask;
         sum.idleWhileWaiting += part * one.idleWhileWaiting;
         sum.refusedWithRoom += one.refusedWithRoom;
-        for (const auto &[name, queue] : one.queues) {
-            foxwing::test::QueueReport &total = sum.queues[name];
-            total.asked += queue.asked;
-            total.inAim += queue.inAim;
-            total.late += queue.late;
-            total.refused += queue.refused;
-            total.failed += queue.failed;
-            total.largeAsked += queue.largeAsked;
-            total.largeInAim += queue.largeInAim;
-            total.refusedAfter.insert(total.refusedAfter.end(), queue.refusedAfter.begin(),
-                                      queue.refusedAfter.end());
-        }
+        for (const auto &[name, queue] : one.queues)
+            addQueue(sum.queues[name], queue);
     }
     return sum;
 }
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -350,6 +350,7 @@
     if (m_now >= m_begin) {
         QueueReport &report = m_report.queues[load.name];
         ++report.asked;
+        ++report.entries[entry].asked;
         report.largeAsked += call.size > LargeSize ? 1 : 0;
         m_owed += credit(call);
     }
@@ -402,6 +403,8 @@
         break;
     case scheduler::JobOutcome::NotRun:
         ++report.refused;
+        ++report.entries[entry].refused;
+        report.largeRefused += call.size > LargeSize ? 1 : 0;
         report.refusedAfter.push_back(took);
         m_report.refusedWithRoom += hasRoomSomewhere(call.spec.steps[0].room) ? 1 : 0;
         break;
@@ -667,12 +670,26 @@
     return Rig(settings).play();
 }
 
+std::pair<double, double> refusedByEntry(const QueueReport &queue)
+{
+    double least = 100;
+    double most = 0;
+    for (const auto &[number, entry] : queue.entries) {
+        const double percent = percentOf(entry.refused, entry.asked);
+        least = std::min(least, percent);
+        most = std::max(most, percent);
+    }
+    return { std::min(least, most), most };
+}
+
 std::string table(const std::vector<std::pair<std::string, RigReport>> &rows)
 {
-    std::string text = "| way | credit | served | refused within 5 ms | starts a task | refused "
-                       "with room | idle while jobs wait |"
-                       " by queue: in aim, of the largest tenth, late, refused, failed, refused"
-                       " after (median) |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n";
+    std::string text =
+            "| way | credit | served | refused within 5 ms | starts a task | refused "
+            "with room | idle while jobs wait |"
+            " by queue: in aim, of the largest tenth, late, refused, of the largest tenth,"
+            " at the entries with the least and the most, failed, refused after"
+            " (median) |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n";
     char line[256];
     for (const auto &[name, report] : rows) {
         std::snprintf(line, sizeof line,
@@ -683,10 +700,13 @@
         text += line;
         for (const auto &[queue, one] : report.queues) {
             std::snprintf(line, sizeof line,
-                          " %s: %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.0f ms;",
+                          " %s: %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.0f to %.0f %%,"
+                          " %.2f %%, %.0f ms;",
                           queue.c_str(), percentOf(one.inAim, one.asked),
                           percentOf(one.largeInAim, one.largeAsked), percentOf(one.late, one.asked),
-                          percentOf(one.refused, one.asked), percentOf(one.failed, one.asked),
+                          percentOf(one.refused, one.asked),
+                          percentOf(one.largeRefused, one.largeAsked), refusedByEntry(one).first,
+                          refusedByEntry(one).second, percentOf(one.failed, one.asked),
                           medianMilliseconds(one.refusedAfter));
             text += line;
         }
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 
 #include <foxwing/runner/runner.h>
 #include <foxwing/scheduler/scheduler.h>
@@ -124,6 +125,13 @@
 
 // [SECTION] Report
 
+// What one entry was asked for and refused.
+struct EntryReport
+{
+    std::uint64_t asked = 0;
+    std::uint64_t refused = 0;
+};
+
 struct QueueReport
 {
     std::uint64_t asked = 0;
@@ -135,6 +143,10 @@
     // The same of the tenth of jobs with most work
     std::uint64_t largeAsked = 0;
     std::uint64_t largeInAim = 0;
+    std::uint64_t largeRefused = 0;
+
+    // By entry
+    std::map<std::size_t, EntryReport> entries;
 
     // From the call to its refusal
     std::vector<Microseconds> refusedAfter;
@@ -181,6 +193,10 @@
 // as much again of everything for 4 s.
 RigSettings unevenEndpoints(std::uint64_t seed);
 
+// The entry that refused the least and the one that refused the most of the queue's jobs, in
+// percent of those that it was asked for.
+std::pair<double, double> refusedByEntry(const QueueReport &queue);
+
 // A table of the reports, a row each.
 std::string table(const std::vector<std::pair<std::string, RigReport>> &rows);
 
--- a/tests/rig/rig_test.cpp
+++ b/tests/rig/rig_test.cpp
@@ -4,6 +4,7 @@
     [SECTION] Helpers
     [SECTION] Replay
     [SECTION] Mechanisms
+    [SECTION] Floors
     [SECTION] Cordons
 */
 #include <functional>
@@ -87,6 +88,51 @@
                                         0.5 }),
         [](const auto &tested) { return tested.param.name; });
 
+// [SECTION] Floors
+
+// Calls of the queue that were not refused while queues compete, in percent
+double servedOf(const std::string &queue, const std::function<void(RigSettings &)> &change)
+{
+    std::uint64_t asked = 0;
+    std::uint64_t refused = 0;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        RigSettings settings = competingQueues(seed);
+        change(settings);
+        const RigReport report = play(settings);
+        asked += report.queues.at(queue).asked;
+        refused += report.queues.at(queue).refused;
+    }
+    return 100.0 * static_cast<double>(asked - refused) / static_cast<double>(asked);
+}
+
+std::function<void(RigSettings &)> floorOf(std::uint32_t percent)
+{
+    return [percent](RigSettings &settings) {
+        settings.scheduler.waitingQueues = scheduler::WaitingQueues::AllButLeast;
+        settings.scheduler.shares.floorPercent = percent;
+    };
+}
+
+constexpr std::uint32_t Floor = 70;
+
+TEST(RigFloor, HoldsTheLeastUrgentQueue)
+{
+    const double held = servedOf("long", floorOf(Floor));
+    EXPECT_GE(held, Floor);
+    EXPECT_GE(held, servedOf("long", floorOf(0)) + 5);
+}
+
+TEST(RigFloor, LeavesTheMiddleQueueMoreThanWithoutWaitingAtAgents)
+{
+    const auto nothingWaits = [](RigSettings &settings) { settings.scheduler.waitPercent = 0; };
+    EXPECT_GE(servedOf("middle", floorOf(Floor)), servedOf("middle", nothingWaits) + 1);
+}
+
+TEST(RigFloor, LeavesTheMostUrgentQueueWhole)
+{
+    EXPECT_GE(servedOf("short", floorOf(Floor)), 99.0);
+}
+
 // [SECTION] Cordons
 
 // A third of the endpoints goes and comes back at the usual load: the rest carries it.
