Scheduler: submit and placeJob as short as they were

Cause: the floors had made both functions longer. Change: counting and refusing for want of room is a function of its own; a start carries the priority that its job is queued under. Ruled out: handing the priority through, which needs one more parameter for what the job holds.

--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -208,6 +208,21 @@
     answerJob(scheduler, kept, outcome, why, now, actions);
 }
 
+// Counts the job as asked for, and refuses it if the work before it takes too long.
+bool refusedForRoom(SchedulerState &scheduler, Job &job, bool possible, Time now,
+                    SchedulerActions &actions)
+{
+    if (possible)
+        noteAskedJob(scheduler, job, now);
+    if (!lacksRoom(scheduler, job, now))
+        return false;
+    if (possible)
+        noteRefusedJob(scheduler, job, now);
+    refuse(scheduler, job, JobOutcome::NotRun, "the work before it takes longer than it may wait",
+           now, actions);
+    return true;
+}
+
 } // namespace
 
 bool certainlyNotBegun(const Job &job)
@@ -242,15 +257,8 @@
         return actions;
     }
     const bool possible = isPossible(scheduler, job);
-    if (possible)
-        noteAskedJob(scheduler, job, now);
-    if (lacksRoom(scheduler, job, now)) {
-        if (possible)
-            noteRefusedJob(scheduler, job, now);
-        refuse(scheduler, job, JobOutcome::NotRun,
-               "the work before it takes longer than it may wait", now, actions);
+    if (refusedForRoom(scheduler, job, possible, now, actions))
         return actions;
-    }
     if (!possible) {
         refuse(scheduler, job, JobOutcome::Failed, "no endpoint of its service could ever run it",
                now, actions);
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -188,7 +188,7 @@
 
 jobs::StartTasks &messageFor(std::vector<std::pair<std::string, jobs::StartTasks>> &messages,
                              const std::string &agent, const Job &job, const Task &task,
-                             std::uint32_t priority, Milliseconds wait)
+                             Milliseconds wait)
 {
     for (auto &[to, message] : messages) {
         if (to == agent && message.step == task.step && message.estimate == task.expected)
@@ -201,7 +201,7 @@
     message.payload = job.spec.payload;
     message.room = spec.room;
     message.estimate = task.expected;
-    message.priority = priority;
+    message.priority = job.queuedPriority;
     message.mayWait = wait;
     messages.emplace_back(agent, std::move(message));
     return messages.back().second;
@@ -228,7 +228,6 @@
               SchedulerActions &actions)
 {
     std::vector<std::pair<std::string, jobs::StartTasks>> messages;
-    const std::uint32_t priority = effectivePriority(scheduler, job);
     const Milliseconds wait = waitFor(scheduler, job, now);
     bool all = true;
     for (Task &task : job.tasks) {
@@ -254,8 +253,7 @@
         ++scheduler.counters.starts;
         agent->pending.push_back({ ++agent->startsSent, job.spec.steps[task.step].room });
         agent->sentAt = now;
-        messageFor(messages, name, job, task, priority, wait)
-                .starts.push_back({ task.index, task.run });
+        messageFor(messages, name, job, task, wait).starts.push_back({ task.index, task.run });
     }
     if (!messages.empty() && job.firstPlacedAt == Time {})
         job.firstPlacedAt = now;
