--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -44,6 +44,8 @@
 refuse_above = 1.5
 refuse_at_arrival_percent = 150
 wait_percent = 0
+waiting_queues = "all-but-least"
+floor_percent = 65
 away_percent = 40
 far_factor = 3
 subset_size = 12
@@ -79,6 +81,8 @@
     EXPECT_TRUE(settings->scheduler.forecast);
     EXPECT_EQ(settings->scheduler.refuseAtArrivalPercent, 150U);
     EXPECT_EQ(settings->scheduler.waitPercent, 0);
+    EXPECT_EQ(settings->scheduler.waitingQueues, scheduler::WaitingQueues::AllButLeast);
+    EXPECT_EQ(settings->scheduler.shares.floorPercent, 65U);
     EXPECT_EQ(settings->scheduler.placement, scheduler::Placement::MostRoom);
     EXPECT_FALSE(settings->scheduler.learnRunTimes);
     EXPECT_FALSE(settings->scheduler.moveRuns);
@@ -123,6 +127,8 @@
                 BadCase { "Order", "\"latest-begin\"", "\"sideways\"", "order" },
                 BadCase { "Placement", "\"most-room\"", "\"nowhere\"", "placement" },
                 BadCase { "Wait", "wait_percent = 0", "wait_percent = 101", "wait_percent" },
+                BadCase { "Waiting", "\"all-but-least\"", "\"all\"", "waiting_queues" },
+                BadCase { "Floor", "floor_percent = 65", "floor_percent = 101", "floor_percent" },
                 BadCase { "Away", "= 40", "= -1", "away_percent" },
                 BadCase { "Far", "far_factor = 3", "far_factor = 0.5", "far_factor" },
                 BadCase { "NoSubset", "subset_size = 12", "subset_size = 0", "subset_size" },
--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -36,6 +36,7 @@
 #include <foxwing/forecast/forecast.h>
 #include <foxwing/jobs/messages.h>
 #include <foxwing/scheduler/runtimes.h>
+#include <foxwing/shares/shares.h>
 
 namespace foxwing::scheduler {
 
@@ -137,6 +138,9 @@
 
     WaitingQueues waitingQueues = WaitingQueues::MostUrgent;
 
+    // What each queue is to be served of the work that it asks for, whatever its priority
+    shares::ShareSettings shares;
+
     // A start waits at an agent for no longer; then another one may be better.
     Milliseconds mostWait { 50 };
 
@@ -303,8 +307,8 @@
     // Begun later, it is worth nothing.
     Time worthUntil {};
 
-    // Begun by then, a late job still ends while its caller waits and its result is worth something;
-    // onTimeUntil where its queue leaves no time beyond the objective.
+    // Begun by then, a late job still ends while its caller waits and its result is worth
+    // something; onTimeUntil where its queue leaves no time beyond the objective.
     Time lateUntil {};
 
     std::vector<Task> tasks;
@@ -326,7 +330,10 @@
 
     // A job with the same id whose runs are not over yet
     std::uint64_t waitsFor = 0;
+
+    // What it is queued under
     Rank group = Rank::OnTime;
+    std::uint32_t queuedPriority = 0;
 
     // The work that waited when the job was queued, in thousandths of a core times milliseconds;
     // only where the order goes by it
@@ -374,16 +381,34 @@
 {
     Rank group = Rank::OnTime;
     std::uint32_t priority = 0;
+
+    // Of a queue below its floor: goes before others of the priority that it was raised to
+    bool raised = false;
     std::int64_t rank = 0;
     std::uint64_t number = 0;
 
     bool operator<(const QueueKey &other) const
     {
-        return std::tie(group, priority, rank, number)
-                < std::tie(other.group, other.priority, other.rank, other.number);
+        return std::tie(group, priority, other.raised, rank, number)
+                < std::tie(other.group, other.priority, raised, other.rank, other.number);
     }
 };
 
+// How a queue stands beside the others of its service.
+struct QueueStanding
+{
+    std::string service;
+    std::uint32_t priority = 0;
+
+    // What its jobs go by: its priority, or a more urgent one while it is below its floor
+    std::uint32_t effective = 0;
+    bool belowFloor = false;
+
+    // A less urgent queue is below its floor, while this one is not: its starts do not wait at
+    // agents, where they would take all room that comes free.
+    bool yields = false;
+};
+
 // Room of one service that ended runs gave back, in thousandths of a core.
 struct FreedRoom
 {
@@ -465,6 +490,10 @@
     std::map<std::string, FadingSum> told;
     Time toldAddedAt {};
 
+    // What queues were served of late, and by queue how each stands for that
+    shares::ShareState shares;
+    std::map<std::string, QueueStanding> standings;
+
     // Priorities of the jobs that came since the declared queues changed last
     std::uint32_t mostUrgent = std::numeric_limits<std::uint32_t>::max();
     std::uint32_t leastUrgent = 0;
@@ -551,6 +580,10 @@
 // Other data centres are cordoned: nothing more goes there, and what waits looks for room anew.
 SchedulerActions takeCordons(SchedulerState &scheduler, const catalog::Cordons &cordons, Time now);
 
+// What the job is ordered by, here and at agents: the priority of its queue, or a more urgent one
+// while the queue is below its floor.
+std::uint32_t effectivePriority(const SchedulerState &scheduler, const Job &job);
+
 // Whether some endpoint of some service could take work.
 bool reachesEndpoints(const SchedulerState &scheduler);
 
--- a/packages/scheduler/src/admission.cpp
+++ b/packages/scheduler/src/admission.cpp
@@ -122,11 +122,12 @@
     const auto freed = scheduler.freed.find(wanted.terms.service);
     if (freed == scheduler.freed.end() || scheduler.settings.refuseAtArrivalPercent == 0)
         return false;
+    const std::uint32_t priority = effectivePriority(scheduler, wanted);
     double waiting = 0;
     for (const QueueKey &key : scheduler.queue) {
         const Job &job = scheduler.jobs.at(key.number);
         if (key.group > Rank::OnTime || job.terms.service != wanted.terms.service
-            || (key.group == Rank::OnTime && job.terms.priority > wanted.terms.priority))
+            || (key.group == Rank::OnTime && job.queuedPriority > priority))
             continue;
         waiting += static_cast<double>(job.waiting)
                 * static_cast<double>(job.spec.steps.front().room.milliCores);
@@ -171,6 +172,15 @@
     return !any;
 }
 
+bool isPossible(const SchedulerState &scheduler, const Job &job)
+{
+    const std::vector<jobs::StepSpec> &steps = job.spec.steps;
+    return job.terms.suitableElsewhere
+            || std::all_of(steps.begin(), steps.end(), [&](const jobs::StepSpec &step) {
+                   return anySuits(scheduler, job, step);
+               });
+}
+
 // Whether a call that waited before it was submitted has lost its time by that. One whose queue
 // leaves it no time from the start has lost nothing, and is tried like any other.
 bool heldTooLong(const Job &job, Time now)
@@ -178,7 +188,8 @@
     return job.terms.cameAt && job.latestBegin > job.arrivedAt && now > job.latestBegin;
 }
 
-bool mustWaitTooLong(const SchedulerState &scheduler, const Job &job, Time now)
+// Whether the work before the job takes longer than it may wait.
+bool lacksRoom(const SchedulerState &scheduler, const Job &job, Time now)
 {
     if (const auto tooLong = forecastIsTooLong(scheduler, job, now))
         return *tooLong;
@@ -188,7 +199,7 @@
             || waitsTooLong(scheduler, job, now);
 }
 
-// Why a job is not taken; empty if it is.
+// Why a job is not taken whatever room there is; empty if it may be.
 std::string refusal(const SchedulerState &scheduler, const Job &job, Time now)
 {
     if (scheduler.jobs.size() >= scheduler.settings.mostJobs)
@@ -202,8 +213,7 @@
     const bool mayBeLate = scheduler.settings.serveLate && now < job.lateUntil;
     if (heldTooLong(job, now) && scheduler.settings.refuseLate && !mayBeLate)
         return "it waited too long before it could be taken up";
-    return mustWaitTooLong(scheduler, job, now) ? "the work before it takes longer than it may wait"
-                                                : "";
+    return "";
 }
 
 void refuse(SchedulerState &scheduler, Job &job, JobOutcome outcome, const std::string &why,
@@ -215,6 +225,21 @@
     answerJob(scheduler, kept, outcome, why, now, actions);
 }
 
+// Counts the job as asked for, and refuses it if the work before it takes too long.
+bool refusedForRoom(SchedulerState &scheduler, Job &job, bool possible, Time now,
+                    SchedulerActions &actions)
+{
+    if (possible)
+        noteAskedJob(scheduler, job, now);
+    if (!lacksRoom(scheduler, job, now))
+        return false;
+    if (possible)
+        noteRefusedJob(scheduler, job, now);
+    refuse(scheduler, job, JobOutcome::NotRun, "the work before it takes longer than it may wait",
+           now, actions);
+    return true;
+}
+
 } // namespace
 
 bool certainlyNotBegun(const Job &job)
@@ -248,9 +273,9 @@
         refuse(scheduler, job, JobOutcome::NotRun, why, now, actions);
         return actions;
     }
-    const bool possible = terms.suitableElsewhere
-            || std::all_of(spec.steps.begin(), spec.steps.end(),
-                           [&](const auto &step) { return anySuits(scheduler, job, step); });
+    const bool possible = isPossible(scheduler, job);
+    if (refusedForRoom(scheduler, job, possible, now, actions))
+        return actions;
     if (!possible) {
         refuse(scheduler, job, JobOutcome::Failed, "no endpoint of its service could ever run it",
                now, actions);
--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -5,6 +5,7 @@
     [SECTION] Freed room
     [SECTION] Outlook
     [SECTION] Crashes
+    [SECTION] Floors
     [SECTION] Ending
 */
 #pragma once
@@ -113,6 +114,19 @@
 void giveUpIfCrashing(SchedulerState &scheduler, Job &job, const Task &task,
                       const std::string &agent, Time now, SchedulerActions &actions);
 
+// [SECTION] Floors
+
+// A job has come that endpoints could serve; such a job is refused since room lacks.
+void noteAskedJob(SchedulerState &scheduler, const Job &job, Time now);
+void noteRefusedJob(SchedulerState &scheduler, const Job &job, Time now);
+
+// Finds the queues that are below their floor, and what their jobs go by.
+void updateStandings(SchedulerState &scheduler, Time now, SchedulerActions &actions);
+
+// Whether the job's starts are not to wait at agents, so that a less urgent queue that is below its
+// floor gets some of the freed room.
+bool yields(const SchedulerState &scheduler, const Job &job);
+
 // [SECTION] Ending
 
 void answerJob(SchedulerState &scheduler, Job &job, JobOutcome outcome, const std::string &reason,
--- a/packages/scheduler/src/order.cpp
+++ b/packages/scheduler/src/order.cpp
@@ -43,7 +43,8 @@
         break;
     case Order::LeastWork:
     case Order::Priority:
-        key.priority = job.terms.priority;
+        key.priority = job.queuedPriority;
+        key.raised = job.queuedPriority < job.terms.priority;
         [[fallthrough]];
     case Order::LatestBegin:
         key.group = job.group;
@@ -67,6 +68,7 @@
         return;
     if (scheduler.settings.order == Order::LeastWork)
         job.leftWhenQueued = workLeft(job);
+    job.queuedPriority = effectivePriority(scheduler, job);
     scheduler.queue.insert(keyOf(scheduler, job));
     scheduler.untried = true;
 }
@@ -97,14 +99,14 @@
 
 } // namespace
 
-// The keys to be looked at, after each job has found its group.
+// The keys to be looked at, after each job has found its group and priority.
 std::vector<QueueKey> sortOut(SchedulerState &scheduler, Time now)
 {
     const std::vector<QueueKey> before(scheduler.queue.begin(), scheduler.queue.end());
     for (const QueueKey &key : before) {
         Job &job = scheduler.jobs.at(key.number);
         const Rank group = groupOf(scheduler, job, now);
-        if (group == job.group)
+        if (group == job.group && effectivePriority(scheduler, job) == job.queuedPriority)
             continue;
         dequeue(scheduler, job);
         job.group = group;
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -216,7 +216,7 @@
     message.payload = job.spec.payload;
     message.room = spec.room;
     message.estimate = task.expected;
-    message.priority = job.terms.priority;
+    message.priority = job.queuedPriority;
     message.mayWait = wait;
     messages.emplace_back(agent, std::move(message));
     return messages.back().second;
@@ -232,7 +232,8 @@
     const bool late = scheduler.settings.refuseLate && now > job.onTimeUntil
             && certainlyNotBegun(job);
     const bool beganLate = scheduler.settings.serveLate && job.firstPlacedAt > job.onTimeUntil;
-    if (scheduler.settings.waitPercent <= 0 || !first || late || beganLate)
+    if (scheduler.settings.waitPercent <= 0 || !first || late || beganLate
+        || yields(scheduler, job))
         return Milliseconds(0);
     constexpr Milliseconds Least { 10 };
     const auto slack = std::chrono::duration_cast<Milliseconds>(job.latestBegin - now);
--- a/tests/rig/main.cpp
+++ b/tests/rig/main.cpp
@@ -30,6 +30,14 @@
     settings.scheduler.serveLate = true;
 }
 
+Way floorWay(const char *name, std::uint32_t percent)
+{
+    return { name, [percent](RigSettings &s) {
+                s.scheduler.waitingQueues = foxwing::scheduler::WaitingQueues::AllButLeast;
+                s.scheduler.shares.floorPercent = percent;
+            } };
+}
+
 std::vector<Way> ways()
 {
     using foxwing::scheduler::Order;
@@ -39,6 +47,10 @@
           [](RigSettings &s) {
               s.scheduler.waitingQueues = foxwing::scheduler::WaitingQueues::AllButLeast;
           } },
+        floorWay("all but the least urgent queue wait at agents, floor 50 percent", 50),
+        floorWay("all but the least urgent queue wait at agents, floor 60 percent", 60),
+        floorWay("all but the least urgent queue wait at agents, floor 70 percent", 70),
+        floorWay("all but the least urgent queue wait at agents, floor 80 percent", 80),
         { "late jobs wait on", [](RigSettings &s) { s.scheduler.refuseLate = false; } },
         { "forecast", [](RigSettings &s) { s.scheduler.forecast = true; } },
         { "forecast at 100 percent",
@@ -75,6 +87,24 @@
     };
 }
 
+void addQueue(foxwing::test::QueueReport &total, const foxwing::test::QueueReport &queue)
+{
+    total.asked += queue.asked;
+    total.inAim += queue.inAim;
+    total.late += queue.late;
+    total.refused += queue.refused;
+    total.failed += queue.failed;
+    total.largeAsked += queue.largeAsked;
+    total.largeInAim += queue.largeInAim;
+    total.largeRefused += queue.largeRefused;
+    for (const auto &[number, entry] : queue.entries) {
+        total.entries[number].asked += entry.asked;
+        total.entries[number].refused += entry.refused;
+    }
+    total.refusedAfter.insert(total.refusedAfter.end(), queue.refusedAfter.begin(),
+                              queue.refusedAfter.end());
+}
+
 // The reports of all seeds, added up.
 RigReport playSeeds(RigSettings (*spell)(std::uint64_t), const Way &way, std::uint64_t seeds)
 {
@@ -92,18 +122,8 @@
         sum.startsPerTask += part * one.startsPerTask;
         sum.idleWhileWaiting += part * one.idleWhileWaiting;
         sum.refusedWithRoom += one.refusedWithRoom;
-        for (const auto &[name, queue] : one.queues) {
-            foxwing::test::QueueReport &total = sum.queues[name];
-            total.asked += queue.asked;
-            total.inAim += queue.inAim;
-            total.late += queue.late;
-            total.refused += queue.refused;
-            total.failed += queue.failed;
-            total.largeAsked += queue.largeAsked;
-            total.largeInAim += queue.largeInAim;
-            total.refusedAfter.insert(total.refusedAfter.end(), queue.refusedAfter.begin(),
-                                      queue.refusedAfter.end());
-        }
+        for (const auto &[name, queue] : one.queues)
+            addQueue(sum.queues[name], queue);
     }
     return sum;
 }
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -352,6 +352,7 @@
     if (m_now >= m_begin) {
         QueueReport &report = m_report.queues[load.name];
         ++report.asked;
+        ++report.entries[entry].asked;
         report.largeAsked += call.size > LargeSize ? 1 : 0;
         m_owed += credit(call);
     }
@@ -405,6 +406,8 @@
         break;
     case scheduler::JobOutcome::NotRun:
         ++report.refused;
+        ++report.entries[entry].refused;
+        report.largeRefused += call.size > LargeSize ? 1 : 0;
         report.refusedAfter.push_back(took);
         if (took <= AtOnce)
             m_report.refusedAtOnce.insert(call.spec.id);
@@ -685,14 +688,26 @@
     return percentOf(static_cast<std::uint64_t>(wrong), report.refusedAtOnce.size());
 }
 
+std::pair<double, double> refusedByEntry(const QueueReport &queue)
+{
+    double least = 100;
+    double most = 0;
+    for (const auto &[number, entry] : queue.entries) {
+        const double percent = percentOf(entry.refused, entry.asked);
+        least = std::min(least, percent);
+        most = std::max(most, percent);
+    }
+    return { std::min(least, most), most };
+}
+
 std::string table(const std::vector<std::pair<std::string, RigReport>> &rows)
 {
     std::string text =
             "| way | credit | served | refused within 5 ms | of these wrongly | starts a task | "
-            "refused "
-            "with room | idle while jobs wait |"
-            " by queue: in aim, of the largest tenth, late, refused, failed, refused"
-            " after (median) |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+            "refused with room | idle while jobs wait |"
+            " by queue: in aim, of the largest tenth, late, refused, of the largest tenth,"
+            " at the entries with the least and the most, failed, refused after"
+            " (median) |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
     char line[256];
     for (const auto &[name, report] : rows) {
         std::snprintf(line, sizeof line,
@@ -704,10 +719,13 @@
         text += line;
         for (const auto &[queue, one] : report.queues) {
             std::snprintf(line, sizeof line,
-                          " %s: %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.0f ms;",
+                          " %s: %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.0f to %.0f %%,"
+                          " %.2f %%, %.0f ms;",
                           queue.c_str(), percentOf(one.inAim, one.asked),
                           percentOf(one.largeInAim, one.largeAsked), percentOf(one.late, one.asked),
-                          percentOf(one.refused, one.asked), percentOf(one.failed, one.asked),
+                          percentOf(one.refused, one.asked),
+                          percentOf(one.largeRefused, one.largeAsked), refusedByEntry(one).first,
+                          refusedByEntry(one).second, percentOf(one.failed, one.asked),
                           medianMilliseconds(one.refusedAfter));
             text += line;
         }
