Late jobs in a long overload: as many wait as late jobs got room for

Change: once late jobs have waited for a second without a break, only as many may wait as the room that late jobs got of late takes in time, and two to try; the rest are refused at once. New rows LongSpells in outlook_test.

--- a/packages/scheduler/include/foxwing/scheduler/scheduler.h
+++ b/packages/scheduler/include/foxwing/scheduler/scheduler.h
@@ -193,6 +193,14 @@
     // wait on.
     bool serveLate = false;
 
+    // While late jobs have waited for less than this, any that the forecast lets wait may do so:
+    // the overload may be short. Longer than that, only as many may wait as the room that late jobs
+    // got of late takes in time, and the rest are refused at once.
+    Milliseconds lateSpan { 1000 };
+
+    // As many late jobs of a service may wait all the same, to find out when there is room again.
+    std::size_t lateProbes = 2;
+
     // Late jobs take only room that was told as free for this long: two rounds of news, in which
     // any entry with a job that can be on time has taken what it needs.
     Milliseconds restSpan { 40 };
@@ -429,6 +437,16 @@
     Time until {};
 };
 
+// Late jobs of one service that wait, or have waited of late.
+struct LateSpell
+{
+    Time since {};
+    Time seenAt {};
+
+    // Room that late jobs got, in thousandths of a core, over lateSpan
+    FadingSum taken;
+};
+
 struct SchedulerCounters
 {
     std::uint64_t submitted = 0;
@@ -490,6 +508,9 @@
     std::map<std::string, FadingSum> told;
     Time toldAddedAt {};
 
+    // By service
+    std::map<std::string, LateSpell> lateSpells;
+
     // What queues were served of late, and by queue how each stands for that
     shares::ShareState shares;
     std::map<std::string, QueueStanding> standings;
--- a/packages/scheduler/src/internal.h
+++ b/packages/scheduler/src/internal.h
@@ -87,6 +87,9 @@
 // Jobs that can't be on time any more, and wait on since they begin before their callers are gone.
 std::set<std::uint64_t> worthWaiting(SchedulerState &scheduler, Time now);
 
+// Starts of the job were sent; if it began late, late jobs have got so much room.
+void noteLateStart(SchedulerState &scheduler, const Job &job, std::int64_t milliCores, Time now);
+
 // When a caller that is refused now should come back, by the forecast.
 Milliseconds comeBackAfter(SchedulerState &scheduler, const Job &job, Time now);
 
--- a/packages/scheduler/src/outlook.cpp
+++ b/packages/scheduler/src/outlook.cpp
@@ -217,6 +217,10 @@
 {
     forecast::Picture picture;
     std::int64_t before = 0;
+
+    // Late jobs that are let wait, and what they want
+    std::size_t late = 0;
+    std::int64_t lateBefore = 0;
 };
 
 bool beginsInTime(const Line &line, const Job &job, Time now)
@@ -225,6 +229,38 @@
     return wait && now + *wait <= job.lateUntil;
 }
 
+// A late job waits: a spell begins, or goes on.
+LateSpell &noteLateWaits(SchedulerState &scheduler, const std::string &service, Time now)
+{
+    LateSpell &spell = scheduler.lateSpells[service];
+    if (now >= spell.seenAt + scheduler.settings.lateSpan)
+        spell.since = now;
+    spell.seenAt = now;
+    return spell;
+}
+
+// Whether what late jobs got of late lets this one wait, too.
+bool lateRoomAllows(const SchedulerSettings &settings, const LateSpell &spell, const Line &line,
+                    const Job &job, Time now)
+{
+    if (now < spell.since + settings.lateSpan || line.late < settings.lateProbes)
+        return true;
+    const double left = std::chrono::duration<double>(job.lateUntil - now).count();
+    const double room = perSecond(spell.taken, settings.lateSpan, now) * left;
+    return static_cast<double>(line.lateBefore + roomWanted(job)) <= room;
+}
+
+// Whether a late job may wait behind those before it in the line.
+bool joinsLate(SchedulerState &scheduler, Line &line, const Job &job, Time now)
+{
+    const LateSpell &spell = noteLateWaits(scheduler, job.terms.service, now);
+    if (!beginsInTime(line, job, now) || !lateRoomAllows(scheduler.settings, spell, line, job, now))
+        return false;
+    ++line.late;
+    line.lateBefore += roomWanted(job);
+    return true;
+}
+
 } // namespace
 
 std::set<std::uint64_t> worthWaiting(SchedulerState &scheduler, Time now)
@@ -241,15 +277,23 @@
             line->second.picture = pictureOf(scheduler, service, now);
             line->second.picture.share = wholeShare(scheduler, service, now);
         }
-        if (key.group == Rank::Late && !beginsInTime(line->second, job, now))
+        const bool late = key.group == Rank::Late;
+        if (late && !joinsLate(scheduler, line->second, job, now))
             continue;
-        if (key.group == Rank::Late)
+        if (late)
             kept.insert(key.number);
         line->second.before += roomWanted(job);
     }
     return kept;
 }
 
+void noteLateStart(SchedulerState &scheduler, const Job &job, std::int64_t milliCores, Time now)
+{
+    if (scheduler.settings.serveLate && job.firstPlacedAt > job.onTimeUntil)
+        addTo(scheduler.lateSpells[job.terms.service].taken, scheduler.settings.lateSpan,
+              static_cast<double>(milliCores), now);
+}
+
 namespace {
 
 // What the job takes when it begins: the steps that wait for no other.
--- a/packages/scheduler/src/placing.cpp
+++ b/packages/scheduler/src/placing.cpp
@@ -240,12 +240,30 @@
     return std::clamp(slack, Least, scheduler.settings.mostWait);
 }
 
+// A run of the task is ordered at the agent.
+void notePlaced(SchedulerState &scheduler, Agent &agent, const std::string &name, Job &job,
+                Task &task, Time now)
+{
+    task.state = TaskState::Placed;
+    task.agent = name;
+    task.placedAt = now;
+    task.stopAsked = false;
+    ++task.run;
+    --job.waiting;
+    ++job.outstanding;
+    ++job.runs;
+    ++scheduler.counters.starts;
+    agent.pending.push_back({ ++agent.startsSent, job.spec.steps[task.step].room });
+    agent.sentAt = now;
+}
+
 // Starts as many of the job's tasks as find room; true if none is left waiting.
 bool placeJob(SchedulerState &scheduler, const AgentRange &agents, Job &job, Time now,
               SchedulerActions &actions)
 {
     std::vector<std::pair<std::string, jobs::StartTasks>> messages;
     const Milliseconds wait = waitFor(scheduler, job, now);
+    std::int64_t milliCores = 0;
     bool all = true;
     for (Task &task : job.tasks) {
         if (task.state != TaskState::Waiting || !stepIsReady(job, task.step))
@@ -259,23 +277,15 @@
             all = false;
             break;
         }
-        task.state = TaskState::Placed;
-        task.agent = name;
-        task.placedAt = now;
-        task.stopAsked = false;
-        ++task.run;
-        --job.waiting;
-        ++job.outstanding;
-        ++job.runs;
-        ++scheduler.counters.starts;
-        agent->pending.push_back({ ++agent->startsSent, job.spec.steps[task.step].room });
-        agent->sentAt = now;
+        notePlaced(scheduler, *agent, name, job, task, now);
+        milliCores += job.spec.steps[task.step].room.milliCores;
         messageFor(messages, name, job, task, wait).starts.push_back({ task.index, task.run });
     }
     if (!messages.empty() && job.firstPlacedAt == Time {})
         job.firstPlacedAt = now;
     if (job.waiting == 0 && job.allPlacedAt == Time {})
         job.allPlacedAt = now;
+    noteLateStart(scheduler, job, milliCores, now);
     for (auto &[to, message] : messages)
         actions.sends.push_back({ to, std::move(message) });
     return all;
--- a/packages/scheduler/tests/outlook_test.cpp
+++ b/packages/scheduler/tests/outlook_test.cpp
@@ -5,6 +5,7 @@
     [SECTION] Helpers
     [SECTION] Arrivals
     [SECTION] Late jobs
+    [SECTION] Long overloads
     [SECTION] Coming back
 */
 #include "bench.h"
@@ -395,6 +396,48 @@
     EXPECT_EQ(bench.scheduler.counters.servedLate, 1U);
 }
 
+// [SECTION] Long overloads
+
+struct LongSpellCase
+{
+    const char *name;
+
+    // Late jobs wait, and the spell of waiting has lasted so long
+    std::size_t jobs;
+    Milliseconds lasted;
+
+    // Thousandths of a core that late jobs got of late
+    double taken;
+    std::size_t waiting;
+};
+
+class LongSpells : public testing::TestWithParam<LongSpellCase>
+{ };
+
+// Jobs of one core and 100 ms; all would begin in time by the forecast.
+TEST_P(LongSpells, LetAsManyWaitAsLateJobsGotRoomFor)
+{
+    BusyBench bench(withForecast(true));
+    bench.freedPerSecond = 100000;
+    bench.tell(0);
+    for (std::size_t i = 0; i < GetParam().jobs; ++i)
+        bench.submitPatient("job-" + std::to_string(i), Milliseconds(5000));
+    LateSpell &spell = bench.scheduler.lateSpells["align"];
+    spell.since = bench.now - GetParam().lasted;
+    spell.seenAt = bench.now;
+    spell.taken = { GetParam().taken, bench.now };
+    bench.wait(Milliseconds(100), 0);
+    EXPECT_EQ(outlook(bench.scheduler, bench.now).waitingLate, GetParam().waiting);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Scheduler, LongSpells,
+        testing::Values(LongSpellCase { "AllWhileItIsYoung", 5, Milliseconds(0), 0, 5 },
+                        LongSpellCase { "TwoToTryOnceItIsOld", 5, Milliseconds(2000), 0, 2 },
+                        LongSpellCase { "MoreWhereLateJobsGotRoom", 5, Milliseconds(2000), 10000,
+                                        4 }),
+        [](const auto &tested) { return tested.param.name; });
+
 // [SECTION] Coming back
 
 // Those who are turned away together come back spread over a while.
--- a/tests/rig/main.cpp
+++ b/tests/rig/main.cpp
@@ -155,6 +155,7 @@
     const std::vector<Spell> spells {
         { "Busy spell", foxwing::test::busySpell },
         { "A third cordoned", foxwing::test::cordonedThird },
+        { "Short spell", foxwing::test::shortSpell },
         { "Competing queues", foxwing::test::competingQueues },
         { "Uneven endpoints", foxwing::test::unevenEndpoints },
     };
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -749,6 +749,17 @@
     return settings;
 }
 
+RigSettings shortSpell(std::uint64_t seed)
+{
+    RigSettings settings = busySpell(seed);
+    settings.length = Milliseconds(5000);
+    settings.patience = Milliseconds(2000);
+    settings.bursts = { { Milliseconds(1000), Milliseconds(2200), 1.5, "" } };
+    for (EndpointTrouble &trouble : settings.troubles)
+        trouble.until = Milliseconds(2200);
+    return settings;
+}
+
 RigSettings competingQueues(std::uint64_t seed)
 {
     RigSettings settings;
--- a/tests/rig/rig.h
+++ b/tests/rig/rig.h
@@ -194,6 +194,9 @@
 // Load that is above the room for 4 s, with endpoints that fail and others out of reach.
 RigSettings busySpell(std::uint64_t seed);
 
+// The same load above the room for little more than a second.
+RigSettings shortSpell(std::uint64_t seed);
+
 // A third of the endpoints is cordoned for 4 s, at the usual load.
 RigSettings cordonedThird(std::uint64_t seed);
 
