--- /dev/null
+++ b/tests/rig/report.cpp
@@ -0,0 +1,95 @@
+/*
+    What a replay has shown: shares, hindsight and the table.
+
+    [SECTION] Shares
+    [SECTION] Table
+*/
+#include "rig.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace foxwing::test {
+
+// [SECTION] Shares
+
+namespace {
+
+double percentOf(std::uint64_t part, std::uint64_t whole)
+{
+    return 100.0 * static_cast<double>(part)
+            / static_cast<double>(std::max<std::uint64_t>(1, whole));
+}
+
+double medianMilliseconds(std::vector<Microseconds> spans)
+{
+    if (spans.empty())
+        return 0;
+    std::sort(spans.begin(), spans.end());
+    return toMilliseconds(spans[spans.size() / 2]);
+}
+
+} // namespace
+
+double wronglyRefusedPercent(const RigSettings &settings, const RigReport &report)
+{
+    RigSettings other = settings;
+    other.scheduler.refuseAtArrivalPercent = 0;
+    other.scheduler.refuseAbove = 1e6;
+    const std::set<std::string> completed = play(other).completed;
+    const auto wrong = std::count_if(report.refusedAtOnce.begin(), report.refusedAtOnce.end(),
+                                     [&](const std::string &id) {
+                                         return completed.count(id) != 0;
+                                     });
+    return percentOf(static_cast<std::uint64_t>(wrong), report.refusedAtOnce.size());
+}
+
+std::pair<double, double> refusedByEntry(const QueueReport &queue)
+{
+    double least = 100;
+    double most = 0;
+    for (const auto &[number, entry] : queue.entries) {
+        const double percent = percentOf(entry.refused, entry.asked);
+        least = std::min(least, percent);
+        most = std::max(most, percent);
+    }
+    return { std::min(least, most), most };
+}
+
+// [SECTION] Table
+
+std::string table(const std::vector<std::pair<std::string, RigReport>> &rows)
+{
+    std::string text =
+            "| way | credit | served | refused within 5 ms | of these wrongly | starts a task | "
+            "refused with room | idle while jobs wait |"
+            " by queue: in aim, of the largest tenth, late, refused, of the largest tenth,"
+            " at the entries with the least and the most, failed, refused after"
+            " (median) |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+    char line[256];
+    for (const auto &[name, report] : rows) {
+        std::snprintf(line, sizeof line,
+                      "| %s | %.2f %% | %.2f %% | %.0f %% | %.1f %% | %.2f | %llu | %.1f %% |",
+                      name.c_str(), report.creditPercent, report.servedPercent,
+                      report.refusedAtOncePercent, report.wronglyRefusedPercent,
+                      report.startsPerTask, static_cast<unsigned long long>(report.refusedWithRoom),
+                      report.idleWhileWaiting);
+        text += line;
+        for (const auto &[queue, one] : report.queues) {
+            std::snprintf(line, sizeof line,
+                          " %s: %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.0f to %.0f %%,"
+                          " %.2f %%, %.0f ms;",
+                          queue.c_str(), percentOf(one.inAim, one.asked),
+                          percentOf(one.largeInAim, one.largeAsked), percentOf(one.late, one.asked),
+                          percentOf(one.refused, one.asked),
+                          percentOf(one.largeRefused, one.largeAsked), refusedByEntry(one).first,
+                          refusedByEntry(one).second, percentOf(one.failed, one.asked),
+                          medianMilliseconds(one.refusedAfter));
+            text += line;
+        }
+        text += " |\n";
+    }
+    return text;
+}
+
+} // namespace foxwing::test
--- a/tests/rig/rig.cpp
+++ b/tests/rig/rig.cpp
@@ -8,13 +8,11 @@
     [SECTION] Agents
     [SECTION] Endpoints
     [SECTION] Report
-    [SECTION] Spells
 */
 #include "rig.h"
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <functional>
 #include <queue>
 
@@ -654,20 +652,6 @@
         at(m_now + SampleInterval, [this] { sample(); });
 }
 
-double percentOf(std::uint64_t part, std::uint64_t whole)
-{
-    return 100.0 * static_cast<double>(part)
-            / static_cast<double>(std::max<std::uint64_t>(1, whole));
-}
-
-double medianMilliseconds(std::vector<Microseconds> spans)
-{
-    if (spans.empty())
-        return 0;
-    std::sort(spans.begin(), spans.end());
-    return toMilliseconds(spans[spans.size() / 2]);
-}
-
 } // namespace
 
 RigReport play(const RigSettings &settings)
@@ -675,140 +659,4 @@
     return Rig(settings).play();
 }
 
-double wronglyRefusedPercent(const RigSettings &settings, const RigReport &report)
-{
-    RigSettings other = settings;
-    other.scheduler.refuseAtArrivalPercent = 0;
-    other.scheduler.refuseAbove = 1e6;
-    const std::set<std::string> completed = play(other).completed;
-    const auto wrong = std::count_if(report.refusedAtOnce.begin(), report.refusedAtOnce.end(),
-                                     [&](const std::string &id) {
-                                         return completed.count(id) != 0;
-                                     });
-    return percentOf(static_cast<std::uint64_t>(wrong), report.refusedAtOnce.size());
-}
-
-std::pair<double, double> refusedByEntry(const QueueReport &queue)
-{
-    double least = 100;
-    double most = 0;
-    for (const auto &[number, entry] : queue.entries) {
-        const double percent = percentOf(entry.refused, entry.asked);
-        least = std::min(least, percent);
-        most = std::max(most, percent);
-    }
-    return { std::min(least, most), most };
-}
-
-std::string table(const std::vector<std::pair<std::string, RigReport>> &rows)
-{
-    std::string text =
-            "| way | credit | served | refused within 5 ms | of these wrongly | starts a task | "
-            "refused with room | idle while jobs wait |"
-            " by queue: in aim, of the largest tenth, late, refused, of the largest tenth,"
-            " at the entries with the least and the most, failed, refused after"
-            " (median) |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
-    char line[256];
-    for (const auto &[name, report] : rows) {
-        std::snprintf(line, sizeof line,
-                      "| %s | %.2f %% | %.2f %% | %.0f %% | %.1f %% | %.2f | %llu | %.1f %% |",
-                      name.c_str(), report.creditPercent, report.servedPercent,
-                      report.refusedAtOncePercent, report.wronglyRefusedPercent,
-                      report.startsPerTask, static_cast<unsigned long long>(report.refusedWithRoom),
-                      report.idleWhileWaiting);
-        text += line;
-        for (const auto &[queue, one] : report.queues) {
-            std::snprintf(line, sizeof line,
-                          " %s: %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.2f %%, %.0f to %.0f %%,"
-                          " %.2f %%, %.0f ms;",
-                          queue.c_str(), percentOf(one.inAim, one.asked),
-                          percentOf(one.largeInAim, one.largeAsked), percentOf(one.late, one.asked),
-                          percentOf(one.refused, one.asked),
-                          percentOf(one.largeRefused, one.largeAsked), refusedByEntry(one).first,
-                          refusedByEntry(one).second, percentOf(one.failed, one.asked),
-                          medianMilliseconds(one.refusedAfter));
-            text += line;
-        }
-        text += " |\n";
-    }
-    return text;
-}
-
-// [SECTION] Spells
-
-RigSettings busySpell(std::uint64_t seed)
-{
-    RigSettings settings;
-    settings.seed = seed;
-    settings.bursts = { { Milliseconds(1000), Milliseconds(5000), 1.25, "" },
-                        { Milliseconds(1500), Milliseconds(4500), 1.6, "long" } };
-    settings.troubles = {
-        { EndpointTrouble::Kind::Fails, Milliseconds(1500), Milliseconds(6000), 10 },
-        { EndpointTrouble::Kind::OutOfReach, Milliseconds(1000), Milliseconds(5000), 14 }
-    };
-    return settings;
-}
-
-RigSettings shortSpell(std::uint64_t seed)
-{
-    RigSettings settings = busySpell(seed);
-    settings.length = Milliseconds(5000);
-    settings.patience = Milliseconds(2000);
-    settings.bursts = { { Milliseconds(1000), Milliseconds(2200), 1.5, "" } };
-    for (EndpointTrouble &trouble : settings.troubles)
-        trouble.until = Milliseconds(2200);
-    return settings;
-}
-
-RigSettings competingQueues(std::uint64_t seed)
-{
-    RigSettings settings;
-    settings.seed = seed;
-    settings.entries = { 5, 3, 3 };
-    settings.agents = { 21, 21, 21 };
-    settings.callers = { 0.39, 0.34, 0.27 };
-    settings.speeds = { 1.0, 1.0, 1.3 };
-    settings.cores = { 32000, 32000, 48000 };
-    settings.queues = { { "short", 0, 3, 227, Milliseconds(60), 8, 32, 2.9, 3000 },
-                        { "middle", 1, 2, 660, Milliseconds(200), 2, 8, 1, 3000 },
-                        { "long", 2, 4, 41, Milliseconds(900), 4, 16, 16, 3000 } };
-    settings.patience = Milliseconds(2000);
-    settings.bursts = { { Milliseconds(1000), Milliseconds(7000), 2.1, "long" } };
-    settings.troubles = { { EndpointTrouble::Kind::Fails, Milliseconds(0), Milliseconds(6000), 12 },
-                          { EndpointTrouble::Kind::OutOfReach, Milliseconds(500),
-                            Milliseconds(6500), 25 } };
-    settings.length = Milliseconds(9000);
-    return settings;
-}
-
-RigSettings unevenEndpoints(std::uint64_t seed)
-{
-    RigSettings settings;
-    settings.seed = seed;
-    settings.entries = { 6, 5, 3 };
-    settings.agents = { 26, 25, 25 };
-    settings.callers = { 0.36, 0.30, 0.34 };
-    settings.speeds = { 0.6, 1.0, 1.6 };
-    settings.cores = { 32000, 32000, 48000 };
-    settings.queues = {
-        { "short", 0, 3, 200, Milliseconds(51), 8, 32, 2.9, 3600, 0.03, 7 },
-        { "middle", 1, 3, 580, Milliseconds(170), 2, 8, 1, 3600, 0.03, 7 },
-        { "long", 2, 4, 36, Milliseconds(760), 4, 16, 16, 3600, 0.03, 7 },
-    };
-    settings.patience = Milliseconds(2000);
-    settings.bursts = { { Milliseconds(1000), Milliseconds(5000), 1.5, "" } };
-    settings.troubles = { { EndpointTrouble::Kind::OutOfReach, Milliseconds(1000),
-                            Milliseconds(5000), 10 } };
-    return settings;
-}
-
-RigSettings cordonedThird(std::uint64_t seed)
-{
-    RigSettings settings;
-    settings.seed = seed;
-    settings.length = Milliseconds(6000);
-    settings.cordons = { { Milliseconds(1000), Milliseconds(5000), 1 } };
-    return settings;
-}
-
 } // namespace foxwing::test
