--- a/review/standin.py
+++ b/review/standin.py
@@ -87,12 +87,13 @@
 class Proxy:
     """Forwards connections. A connection whose 'silent' is set passes nothing on any more, in either
     direction, and is not closed. While 'hold' is set, what new connections send is kept and goes on
-    later, when release() is called, even if its sender has gone."""
+    later, when release() is called, even if its sender has gone. Until 'cut_until', as in a short cut,
+    bytes wait in both directions and go on afterwards."""
 
     def __init__(self, listen, target):
         self.listen, self.target = listen, target
         self.pairs, self.hold, self.held = [], False, asyncio.Event()
-        self.delay_back_until = 0.0
+        self.cut_until = 0.0
 
     async def serve(self):
         host, port = self.listen.split(":")
@@ -119,8 +120,8 @@
         except OSError:
             writer.transport.abort()
             return
-        await asyncio.gather(self.pump(pair, reader, target_writer, False),
-                             self.pump(pair, target_reader, writer, True))
+        await asyncio.gather(self.pump(pair, reader, target_writer),
+                             self.pump(pair, target_reader, writer))
 
     async def deliver_late(self, reader, writer):
         """Keeps the bytes of one call, and hands them on after release()."""
@@ -141,11 +142,10 @@
             pass
         writer.transport.abort()
 
-    async def pump(self, pair, reader, writer, back):
+    async def pump(self, pair, reader, writer):
         try:
             while data := await reader.read(65536):
-                if back:
-                    await asyncio.sleep(max(0.0, self.delay_back_until - time.monotonic()))
+                await asyncio.sleep(max(0.0, self.cut_until - time.monotonic()))
                 if pair["silent"]:
                     await asyncio.sleep(3600)
                 writer.write(data)
@@ -165,6 +165,7 @@
         self.lives, self.life, self.server = 0, None, None
         self.connections, self.beats = set(), None
         self.intervals = []  # [task, run, life, start, end, how]
+        self.labels_of = {}
         self.on_start = None
 
     # Lives
@@ -172,6 +173,7 @@
     async def begin(self, register=True):
         self.lives += 1
         self.life = f"i-{self.number}-{self.lives}"
+        self.labels_of[self.life] = list(self.labels)
         self.began, self.sequence = time.monotonic(), 0
         self.fence, self.lease_ms, self.last_end = 0, 0, 0
         self.runs, self.ended, self.highest, self.state = {}, [], {}, "ready"
