--- a/review/standin.py
+++ b/review/standin.py
@@ -514,14 +514,22 @@
 
     async def bounded():
         fleets = []
+        part = asyncio.ensure_future(case(record, trouble, fleets))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, part.cancel)
         try:
-            return await asyncio.wait_for(case(record, trouble, fleets), limit_s)
+            return await asyncio.wait_for(part, limit_s)
         finally:
             for fleet in fleets:
                 await fleet.end()
 
     try:
-        happened = asyncio.get_event_loop().run_until_complete(bounded())
+        loop = asyncio.new_event_loop()
+        asyncio.set_event_loop(loop)
+        happened = loop.run_until_complete(bounded())
+    except asyncio.CancelledError:
+        record.write("stopped by a signal")
+        return 2
     except Exception as error:  # pylint: disable=broad-except
         record.write(f"could not run: {error!r}")
         print("could not run:", repr(error))
