--- a/review/standin.py
+++ b/review/standin.py
@@ -111,20 +111,20 @@
     async def connection(self, reader, writer):
         pair = {"silent": False}
         self.pairs.append(pair)
-        if self.hold:
-            await self.deliver_late(reader, writer)
-            return
         host, port = self.target.split(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
         except OSError:
             writer.transport.abort()
             return
+        if self.hold:
+            await self.deliver_late(reader, writer, target_reader, target_writer)
+            return
         await asyncio.gather(self.pump(pair, reader, target_writer),
                              self.pump(pair, target_reader, writer))
 
-    async def deliver_late(self, reader, writer):
-        """Keeps the bytes of one call, and hands them on after release()."""
+    async def deliver_late(self, reader, writer, target_reader, target_writer):
+        """Keeps the bytes of one call on an open connection, and hands them on after release()."""
         data = b""
         try:
             while chunk := await asyncio.wait_for(reader.read(65536), 0.3):
@@ -132,9 +132,7 @@
         except (OSError, asyncio.TimeoutError):
             pass
         await self.held.wait()
-        host, port = self.target.split(":")
         try:
-            target_reader, target_writer = await asyncio.open_connection(host, int(port))
             target_writer.write(data)
             await asyncio.wait_for(target_reader.read(65536), 1)
             target_writer.close()
